--- a/cmd/knapweedpoint/main.go
+++ b/cmd/knapweedpoint/main.go
@@ -5,10 +5,13 @@
 	"os"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/cli"
+	"github.com/knapweedpoint/knapweedpoint/platform/command"
 )
 
 func main() {
-	if err := cli.New().Execute(); err != nil {
+	c := cli.New()
+	c.AddCommand(command.NewEntry())
+	if err := c.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "knapweedpoint:", err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/internal/choice/book.go
@@ -0,0 +1,209 @@
+package choice
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
+)
+
+const (
+	// PatienceFactor times the usual duration is how long a call may take before its target counts as stalled
+	// and a second send is due; with work spread by a third, 1 in 50 calls takes longer.
+	PatienceFactor = 2.2
+	// fullFor is how long a target that refused a call is avoided: about one turn of its slots.
+	fullFor = 15 * time.Millisecond
+	// unreachableFor is how long a target that did not accept a connection is avoided: two heartbeats,
+	// by when the platform has published its end or its new start.
+	unreachableFor = 2500 * time.Millisecond
+	// failurePenalty is the share of a route's usual time, per recent failure, by which a target is taken to be later.
+	failurePenalty = 3
+	// spread is the random share by which expectations differ, so that daemons do not move in step.
+	spread = 0.15
+	// defaultSlots is taken for a target that does not state its slots.
+	defaultSlots = 2
+)
+
+// Class names the calls that are expected to last equally long, and the objective of their route.
+type Class struct {
+	Name      string
+	Objective time.Duration
+}
+
+// Book records how targets answer; its zero value knows nothing and is ready to use.
+type Book struct {
+	mu      sync.Mutex
+	records map[string]*record
+	usual   map[string]*usual
+}
+
+// Choice is one target and how long it is expected to take.
+type Choice struct {
+	Target   inventory.Target
+	Expected time.Duration
+}
+
+// Pick returns the candidate that is expected to answer soonest; false when there is none.
+func (b *Book) Pick(c Class, candidates []inventory.Target, now time.Time) (Choice, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	best, bestCost := -1, 0.0
+	var expected time.Duration
+	for i, t := range candidates {
+		e := b.expect(c, t, now)
+		cost := float64(e) * (1 + spread*rand.Float64())
+		if best < 0 || cost < bestCost {
+			best, bestCost, expected = i, cost, e
+		}
+	}
+	if best < 0 {
+		return Choice{}, false
+	}
+	return Choice{Target: candidates[best], Expected: expected}, true
+}
+
+// Usual returns how long calls of a class usually last.
+func (b *Book) Usual(c Class) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.usually(c).median
+}
+
+// Down reports whether a target did not accept a connection of late.
+func (b *Book) Down(target string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.records[target]
+	return r != nil && now.Before(r.downUntil)
+}
+
+func (b *Book) usually(c Class) *usual {
+	u := b.usual[c.Name]
+	if u == nil {
+		if b.usual == nil {
+			b.usual = map[string]*usual{}
+		}
+		u = newUsual(c.Objective)
+		b.usual[c.Name] = u
+	}
+	return u
+}
+
+func (b *Book) record(t inventory.Target) *record {
+	r := b.records[t.ID]
+	if r == nil {
+		if b.records == nil {
+			b.records = map[string]*record{}
+		}
+		r = &record{calls: map[*Ticket]struct{}{}}
+		b.records[t.ID] = r
+	}
+	r.slots = t.Slots
+	if r.slots <= 0 {
+		r.slots = defaultSlots
+	}
+	return r
+}
+
+// expect returns how long a call that starts now is expected to take.
+func (b *Book) expect(c Class, t inventory.Target, now time.Time) time.Duration {
+	u := float64(b.usually(c).median)
+	r := b.record(t)
+	service := u * r.slowness(now)
+	e := service * (1 + r.queue(now)/float64(r.slots))
+	e += u * failurePenalty * r.failure(now)
+	e += float64(r.overdue(now))
+	for _, until := range []time.Time{r.fullUntil, r.downUntil, r.stalledUntil} {
+		if wait := until.Sub(now); wait > 0 {
+			e += float64(wait)
+		}
+	}
+	return time.Duration(e)
+}
+
+// Begin notes that a call starts.
+func (b *Book) Begin(c Class, t inventory.Target, now time.Time) *Ticket {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.record(t)
+	k := &Ticket{book: b, record: r, class: c, begun: now}
+	k.ahead = r.queue(now) / float64(r.slots)
+	k.patience = time.Duration(PatienceFactor * float64(b.usually(c).median))
+	r.calls[k] = struct{}{}
+	return k
+}
+
+// Stalled notes that peers saw a target stall until about the given time.
+func (b *Book) Stalled(t inventory.Target, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.record(t).stalledUntil = until
+}
+
+// Keep forgets all targets but the known ones.
+func (b *Book) Keep(known func(target string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, r := range b.records {
+		if !known(id) && len(r.calls) == 0 {
+			delete(b.records, id)
+		}
+	}
+}
+
+// Ticket is one call under way.
+type Ticket struct {
+	book     *Book
+	record   *record
+	class    Class
+	begun    time.Time
+	ahead    float64
+	patience time.Duration
+}
+
+// Patience is how long the call may take before its target counts as stalled.
+func (k *Ticket) Patience() time.Duration { return k.patience }
+
+// End notes how the call ended; cancelled says that the daemon itself broke it off.
+func (k *Ticket) End(result targetcall.Result, cancelled bool, now time.Time) {
+	k.book.mu.Lock()
+	defer k.book.mu.Unlock()
+	delete(k.record.calls, k)
+	if cancelled {
+		return
+	}
+	switch x := result.(type) {
+	case targetcall.Answered:
+		k.answered(x, now)
+	case targetcall.Refused:
+		k.record.fullUntil = now.Add(fullFor)
+		k.noteLoad(x.Load, now)
+	case targetcall.NotSent:
+		if x.Down {
+			k.record.downUntil = now.Add(unreachableFor)
+		}
+	case targetcall.Unknown:
+		k.record.addFailure(now)
+	}
+}
+
+func (k *Ticket) answered(a targetcall.Answered, now time.Time) {
+	k.noteLoad(a.Load, now)
+	if !a.Final() {
+		k.record.addFailure(now)
+		return
+	}
+	took := now.Sub(k.begun)
+	u := k.book.usually(k.class)
+	k.record.addRatio(float64(took)/(float64(u.median)*(1+k.ahead)), now)
+	u.add(took)
+}
+
+func (k *Ticket) noteLoad(l targetcall.Load, now time.Time) {
+	if l.Known {
+		k.record.load = l
+		k.record.loadAt = now
+	}
+}
--- /dev/null
+++ b/internal/dispatch/doc.go
@@ -0,0 +1,2 @@
+// Package dispatch answers a caller's request: it finds the route, sends it on and says how it ended.
+package dispatch
--- /dev/null
+++ b/internal/entry/assemble.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/samber/do/v2"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
+	"github.com/knapweedpoint/knapweedpoint/internal/choice"
+	"github.com/knapweedpoint/knapweedpoint/internal/dispatch"
+	"github.com/knapweedpoint/knapweedpoint/internal/forward"
+	"github.com/knapweedpoint/knapweedpoint/internal/gossip"
+	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/metrics"
+	"github.com/knapweedpoint/knapweedpoint/internal/peercopy"
+	"github.com/knapweedpoint/knapweedpoint/internal/permission"
+	"github.com/knapweedpoint/knapweedpoint/internal/published"
+	"github.com/knapweedpoint/knapweedpoint/internal/retrybudget"
+	"github.com/knapweedpoint/knapweedpoint/internal/roster"
+	"github.com/knapweedpoint/knapweedpoint/internal/scatter"
+	"github.com/knapweedpoint/knapweedpoint/internal/split"
+	"github.com/knapweedpoint/knapweedpoint/internal/storesync"
+)
+
+// headerTimeout bounds how long peers and operators may take to send a request's headers.
+const headerTimeout = 5 * time.Second
+
+// assemble registers every part of the daemon; each is made when it is first asked for.
+func (d *Daemon) assemble() do.Injector {
+	i := do.New()
+	do.ProvideValue(i, &choice.Book{})
+	do.ProvideValue(i, &permission.Gate{})
+	do.ProvideValue(i, &retrybudget.Budget{})
+	do.ProvideValue(i, &split.Picker{})
+	do.ProvideValue(i, &blackboard.Cell[published.State]{})
+	do.Provide(i, d.newRoster)
+	do.Provide(i, d.newGossiper)
+	do.Provide(i, d.newSyncer)
+	do.Provide(i, d.newForwarder)
+	do.Provide(i, d.newDispatcher)
+	do.Provide(i, d.newHousekeeper)
+	return i
+}
+
+// resolve makes the parts that Run uses.
+func (d *Daemon) resolve() error {
+	syncer, err := do.Invoke[*syncerParts](d.injector)
+	if err != nil {
+		return err
+	}
+	d.syncer = syncer
+	d.forwarder = do.MustInvoke[*forward.Forwarder](d.injector)
+	d.housekeep = do.MustInvoke[*housekeeper](d.injector)
+	d.callers = d.o.NewCallers(d.Answer)
+	d.readiness = d.o.NewReadiness(d.Ready)
+	d.peers = &http.Server{Handler: peercopy.NewHandler(syncer.syncer.Copy), ReadHeaderTimeout: headerTimeout}
+	d.metrics = &http.Server{Handler: metrics.NewTextHandler(d.o.Reporter), ReadHeaderTimeout: headerTimeout}
+	return nil
+}
+
+func (d *Daemon) newRoster(do.Injector) (*roster.Roster, error) {
+	s := d.Settings()
+	return roster.New(roster.Member{
+		Name: s.Name, Address: s.Gossip, Copies: s.Peers, AvailabilityZone: s.AvailabilityZone,
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}), nil
+}
+
+func (d *Daemon) newGossiper(i do.Injector) (*gossip.Gossiper, error) {
+	conn, err := net.ListenPacket("udp4", d.Settings().Gossip)
+	if err != nil {
+		return nil, errorx.ExternalError.Wrap(err, "listen on %s", d.Settings().Gossip)
+	}
+	return &gossip.Gossiper{
+		Roster: do.MustInvoke[*roster.Roster](i), Conn: conn, Seeds: d.seeds, Receiver: d, Log: d.o.Log,
+	}, nil
+}
+
+// seeds returns the datagram addresses of the seeds: all daemons use the same port.
+func (d *Daemon) seeds() []string {
+	s := d.Settings()
+	_, port, err := net.SplitHostPort(s.Gossip)
+	if err != nil {
+		return nil
+	}
+	var out []string
+	for _, seed := range s.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err == nil && seed != s.Peers {
+			out = append(out, net.JoinHostPort(host, port))
+		}
+	}
+	return out
+}
+
+func (d *Daemon) newSyncer(i do.Injector) (*syncerParts, error) {
+	g, err := do.Invoke[*gossip.Gossiper](i)
+	if err != nil {
+		return nil, err
+	}
+	r := do.MustInvoke[*roster.Roster](i)
+	cell := do.MustInvoke[*blackboard.Cell[published.State]](i)
+	s := storesync.New(storesync.Options{
+		Source:     d.o.Source,
+		Peers:      peers{roster: r, gossiper: g, http: peercopy.NewHTTPClient()},
+		Cell:       cell,
+		Bound:      func() time.Duration { return d.Settings().Rules.DrainBound.Std() },
+		FirstStart: d.Settings().FirstStart,
+		Changed:    d.changed,
+		Log:        d.o.Log,
+	})
+	return &syncerParts{syncer: s, roster: r, gossiper: g, conn: g.Conn, cell: cell}, nil
+}
+
+func (d *Daemon) newForwarder(i do.Injector) (*forward.Forwarder, error) {
+	return &forward.Forwarder{
+		Sender:    d.o.Sender,
+		Book:      do.MustInvoke[*choice.Book](i),
+		Gate:      do.MustInvoke[*permission.Gate](i),
+		Budget:    do.MustInvoke[*retrybudget.Budget](i),
+		Inventory: func() inventory.Inventory { return d.State().Inventory },
+		Group:     &d.sends,
+		Report:    d.reported,
+	}, nil
+}
+
+func (d *Daemon) newDispatcher(i do.Injector) (*dispatch.Dispatcher, error) {
+	f := do.MustInvoke[*forward.Forwarder](i)
+	margin := d.Settings().Rules.CallerMargin.Std()
+	return &dispatch.Dispatcher{
+		State:     d.State,
+		Forwarder: f,
+		Gatherer:  &scatter.Gatherer{Runner: f, Margin: margin},
+		Splits:    do.MustInvoke[*split.Picker](i),
+		Margin:    margin,
+		Log:       d.o.Log,
+		Scope:     d.o.Scope,
+	}, nil
+}
+
+func (d *Daemon) newHousekeeper(i do.Injector) (*housekeeper, error) {
+	return &housekeeper{
+		daemon: d,
+		book:   do.MustInvoke[*choice.Book](i),
+		gate:   do.MustInvoke[*permission.Gate](i),
+		budget: do.MustInvoke[*retrybudget.Budget](i),
+		roster: do.MustInvoke[*roster.Roster](i),
+	}, nil
+}
--- /dev/null
+++ b/internal/entry/changes.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/events"
+	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
+	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/permission"
+	"github.com/knapweedpoint/knapweedpoint/internal/published"
+	"github.com/knapweedpoint/knapweedpoint/internal/roster"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
+)
+
+// changed passes on what differs between two copies of the published state.
+func (d *Daemon) changed(before, after published.State) {
+	if after.Orders.Version() != before.Orders.Version() {
+		d.callers.SetLimits(after.Orders.Table.Limits)
+	}
+	if after.Orders.Version() != before.Orders.Version() || !slices.Equal(after.Orders.ZonesOut, before.Orders.ZonesOut) {
+		events.OrdersTaken.Log(d.o.Log, zap.Uint64("version", after.Orders.Version()), zap.Uint64("before", before.Orders.Version()),
+			zap.Strings("zonesOut", after.Orders.ZonesOut), zap.Uint64("revision", after.Inventory.Revision))
+	}
+	r := d.Settings().Rules
+	// A zone that is back may hold targets whose coldness is published with their next heartbeat and read within the drain bound.
+	coldUntil := time.Now().Add(2*r.Heartbeat.Std() + r.DrainBound.Std())
+	do.MustInvoke[*permission.Gate](d.injector).SetZonesOut(after.Orders.ZonesOut, coldUntil)
+	d.logTargets(before.Inventory, after.Inventory)
+}
+
+// logTargets writes a line for each target that was published, changed or withdrawn.
+func (d *Daemon) logTargets(before, after inventory.Inventory) {
+	if before.Revision == 0 {
+		return
+	}
+	now := time.Now()
+	for _, t := range after.All() {
+		if old, ok := before.Target(t.ID); !ok || old != t {
+			events.TargetPublished.Log(d.o.Log, zap.String("target", t.ID), zap.String("service", t.Service),
+				zap.Bool("draining", t.Draining), zap.Bool("cold", t.Cold(now)), zap.Uint64("revision", t.Revision))
+		}
+	}
+	for _, t := range before.All() {
+		if _, ok := after.Target(t.ID); !ok {
+			events.TargetWithdrawn.Log(d.o.Log, zap.String("target", t.ID), zap.String("service", t.Service), zap.Uint64("revision", after.Revision))
+		}
+	}
+}
+
+// reported notes a target that did not accept a connection.
+func (d *Daemon) reported(t inventory.Target, r targetcall.Result) {
+	if x, ok := r.(targetcall.NotSent); ok && x.Down {
+		events.TargetDown.Log(d.o.Log, zap.String("target", t.ID), zap.String("service", t.Service), zap.Error(x.Err))
+		d.o.Pool.Forget(t.ID)
+	}
+}
+
+// Received takes in a peer's datagram.
+func (d *Daemon) Received(from roster.Member, m *gossippb.Datagram) {
+	if p := m.GetPush(); p != nil {
+		d.syncer.syncer.Take(from, p)
+	}
+}
--- /dev/null
+++ b/internal/entry/daemon.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+
+	"github.com/joomcode/errorx"
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
+	"github.com/knapweedpoint/knapweedpoint/internal/dispatch"
+	"github.com/knapweedpoint/knapweedpoint/internal/events"
+	"github.com/knapweedpoint/knapweedpoint/internal/forward"
+	"github.com/knapweedpoint/knapweedpoint/internal/gossip"
+	"github.com/knapweedpoint/knapweedpoint/internal/published"
+	"github.com/knapweedpoint/knapweedpoint/internal/roster"
+	"github.com/knapweedpoint/knapweedpoint/internal/storesync"
+	"github.com/knapweedpoint/knapweedpoint/pkg/settings"
+)
+
+// Daemon is one entry daemon.
+type Daemon struct {
+	o        Options
+	injector do.Injector
+	settings blackboard.Cell[settings.Entry]
+	board    blackboard.Board
+
+	syncer    *syncerParts
+	forwarder *forward.Forwarder
+	callers   Callers
+	readiness Readiness
+	peers     *http.Server
+	metrics   *http.Server
+	housekeep *housekeeper
+
+	group errgroup.Group
+	// sends outlast the requests that made them; nothing waits for them at the end.
+	sends errgroup.Group
+}
+
+// syncerParts are the parts that spread the published state.
+type syncerParts struct {
+	syncer   *storesync.Syncer
+	roster   *roster.Roster
+	gossiper *gossip.Gossiper
+	conn     net.PacketConn
+	cell     *blackboard.Cell[published.State]
+}
+
+// New returns a daemon that is assembled but not started.
+func New(o Options) (*Daemon, error) {
+	d := &Daemon{o: o}
+	d.settings.Set(&o.Settings)
+	d.board.SetLife(blackboard.Starting{})
+	d.injector = d.assemble()
+	if err := d.resolve(); err != nil {
+		return nil, errorx.Decorate(err, "assemble")
+	}
+	return d, nil
+}
+
+// Settings returns the settings in force.
+func (d *Daemon) Settings() settings.Entry { return *d.settings.Get() }
+
+// State returns the daemon's copy of the published state.
+func (d *Daemon) State() published.State { return d.syncer.syncer.State() }
+
+// Ready reports whether the daemon takes new callers: it has had a configuration and was not told to stop.
+func (d *Daemon) Ready() bool { return d.State().Configured() && !d.board.Drains() }
+
+// Answer answers one request of a caller.
+func (d *Daemon) Answer(ctx context.Context, q dispatch.Question) dispatch.Answer {
+	return do.MustInvoke[*dispatch.Dispatcher](d.injector).Answer(ctx, q)
+}
+
+// Run serves until a signal to stop arrives and the requests under way have ended.
+func (d *Daemon) Run(signals <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := d.Settings()
+	events.Started.Log(d.o.Log, zap.String("availabilityZone", s.AvailabilityZone), zap.Bool("firstStart", s.FirstStart),
+		zap.Strings("seeds", s.Seeds), zap.Any("rules", s.Rules))
+	if err := d.listen(); err != nil {
+		return err
+	}
+	d.group.Go(func() error { d.syncer.gossiper.Receive(); return nil })
+	d.group.Go(func() error { d.syncer.gossiper.Run(ctx); return nil })
+	d.group.Go(func() error { d.syncer.syncer.Run(ctx); return nil })
+	d.group.Go(func() error { d.housekeep.Run(ctx); return nil })
+	d.group.Go(func() error { return d.watchSettings(ctx) })
+	d.board.SetLife(blackboard.Serving{})
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+		d.reload("signal")
+	}
+	d.drain()
+	cancel()
+	_ = d.syncer.conn.Close()
+	err := d.group.Wait()
+	events.Stopped.Log(d.o.Log)
+	return err
+}
+
+// listen opens the daemon's interfaces; the callers' is last, so that a daemon that accepts is whole.
+func (d *Daemon) listen() error {
+	s := d.Settings()
+	for _, x := range []struct {
+		address string
+		serve   func(net.Listener) error
+	}{
+		{s.Peers, d.peers.Serve},
+		{s.Metrics, d.metrics.Serve},
+		{s.Readiness, d.readiness.Serve},
+		{s.Callers, d.callers.Serve},
+	} {
+		l, err := net.Listen("tcp4", x.address)
+		if err != nil {
+			events.ListenerFailed.Log(d.o.Log, zap.String("address", x.address), zap.Error(err))
+			return errorx.ExternalError.Wrap(err, "listen on %s", x.address)
+		}
+		d.group.Go(func() error { return d.serve(x.serve, l) })
+	}
+	return nil
+}
+
+func (d *Daemon) serve(serve func(net.Listener) error, l net.Listener) error {
+	err := serve(l)
+	if err == nil || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	events.InterfaceFailed.Log(d.o.Log, zap.Stringer("address", l.Addr()), zap.Error(err))
+	return errorx.ExternalError.Wrap(err, "serve %s", l.Addr())
+}
--- /dev/null
+++ b/internal/entry/housekeeper.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/choice"
+	"github.com/knapweedpoint/knapweedpoint/internal/events"
+	"github.com/knapweedpoint/knapweedpoint/internal/permission"
+	"github.com/knapweedpoint/knapweedpoint/internal/retrybudget"
+	"github.com/knapweedpoint/knapweedpoint/internal/roster"
+	"github.com/knapweedpoint/knapweedpoint/internal/suspension"
+)
+
+const (
+	// housekeepEvery is the time between two rounds of upkeep; a change of members is noticed within one.
+	housekeepEvery = 250 * time.Millisecond
+	// sweepRounds is how many rounds pass between two sweeps of idle connections and forgotten targets.
+	sweepRounds = 4
+	// leastMembers is how many daemons the retry budget is shared among while a daemon knows few of them,
+	// as after its start.
+	leastMembers = 8
+)
+
+// housekeeper passes on what changes slowly: members, shares of budgets, lost time, idle connections.
+type housekeeper struct {
+	daemon   *Daemon
+	book     *choice.Book
+	gate     *permission.Gate
+	budget   *retrybudget.Budget
+	roster   *roster.Roster
+	detector suspension.Detector
+	members  int
+}
+
+// Run keeps house until ctx ends.
+func (h *housekeeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(housekeepEvery)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		h.round(round)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *housekeeper) round(round int) {
+	now := time.Now()
+	d := h.daemon
+	if lost := h.detector.Lost(now); lost > 0 {
+		events.ClockSuspended.Log(d.o.Log, zap.Duration("lost", lost))
+		d.syncer.syncer.Doubt()
+	}
+	h.shareOut(now)
+	if round%sweepRounds == 0 {
+		h.sweep(now)
+	}
+}
+
+// shareOut passes the live daemons on to what is shared among them.
+func (h *housekeeper) shareOut(now time.Time) {
+	d := h.daemon
+	names := h.roster.Names(now)
+	h.gate.SetMembers(d.Settings().Name, names)
+	r := d.Settings().Rules
+	rule := retrybudget.Rule{Ratio: r.RetryRatio, Slack: r.RetrySlack, Window: r.RetryWindow.Std()}
+	h.budget.SetRule(rule, 1/float64(max(len(names), leastMembers)))
+	if len(names) != h.members {
+		events.MembersChanged.Log(d.o.Log, zap.Int("before", h.members), zap.Int("members", len(names)))
+		h.members = len(names)
+	}
+}
+
+func (h *housekeeper) sweep(now time.Time) {
+	d := h.daemon
+	inv := d.State().Inventory
+	known := func(id string) bool {
+		_, ok := inv.Target(id)
+		return ok
+	}
+	d.o.Pool.Sweep(now, known)
+	h.book.Keep(known)
+	h.gate.Keep(known)
+	if n := d.o.DroppedLines(); n > 0 {
+		events.LogLinesDropped.Log(d.o.Log, zap.String("lines", strconv.FormatInt(n, 10)))
+	}
+	d.o.Scope.Gauge("idleConnections").Update(float64(d.o.Pool.Len()))
+	d.o.Scope.Gauge("members").Update(float64(h.members))
+	d.o.Scope.Gauge("configurationVersion").Update(float64(d.State().Orders.Version()))
+	d.o.Scope.Gauge("targets").Update(float64(inv.Len()))
+}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/gossip"
+	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
+	"github.com/knapweedpoint/knapweedpoint/internal/peercopy"
+	"github.com/knapweedpoint/knapweedpoint/internal/rendezvous"
+	"github.com/knapweedpoint/knapweedpoint/internal/roster"
+)
+
+// readerKey is what daemons are ranked for when they read the store for all.
+const readerKey = "storeReader"
+
+// peers reaches the other daemons for the syncer.
+type peers struct {
+	roster   *roster.Roster
+	gossiper *gossip.Gossiper
+	http     *http.Client
+}
+
+// Push tells all live peers what changed.
+func (p peers) Push(push *gossippb.Push) {
+	p.gossiper.Broadcast(&gossippb.Datagram{Push: push})
+}
+
+// Fetch returns a peer's copy.
+func (p peers) Fetch(ctx context.Context, from roster.Member, version uint64) (*gossippb.Copy, error) {
+	return peercopy.Fetch(ctx, p.http, from.Copies, version)
+}
+
+// Live returns the live peers.
+func (p peers) Live() []roster.Member { return p.roster.Peers(time.Now()) }
+
+// Rank returns the daemon's place among the live daemons; one that is leaving is the last.
+func (p peers) Rank() int {
+	names := p.roster.Names(time.Now())
+	i := slices.Index(rendezvous.Names(readerKey, names, len(names)), p.roster.Self().Name)
+	if i < 0 {
+		return len(names)
+	}
+	return i
+}
--- a/internal/events/event.go
+++ b/internal/events/event.go
@@ -49,6 +49,28 @@
 	RequestRefused       = Event{501, "requestQuarantined", Error}
 	BookingUnknown       = Event{600, "bookingUnknown", Warn}
 	ListenerFailed       = Event{700, "listenerFailed", Error}
+
+	RequestEnded     = Event{800, "requestEnded", Info}
+	StoreLost        = Event{810, "storeLost", Warn}
+	StoreRegained    = Event{811, "storeRegained", Info}
+	StoreRead        = Event{812, "storeRead", Info}
+	CopyTaken        = Event{813, "copyTaken", Info}
+	CopyFailed       = Event{814, "copyFailed", Warn}
+	EntryForeign     = Event{815, "entryForeign", Warn}
+	OrdersTaken      = Event{816, "ordersTaken", Info}
+	TargetPublished  = Event{820, "targetPublished", Info}
+	TargetWithdrawn  = Event{821, "targetWithdrawn", Info}
+	TargetDown       = Event{822, "targetDown", Warn}
+	TargetOverdue    = Event{823, "targetOverdue", Info}
+	RequestCrashes   = Event{824, "requestCrashes", Error}
+	DatagramFailed   = Event{830, "datagramFailed", Warn}
+	DatagramOdd      = Event{831, "datagramOdd", Warn}
+	MembersChanged   = Event{832, "membersChanged", Info}
+	ClockSuspended   = Event{840, "clockSuspended", Warn}
+	SettingsReloaded = Event{850, "settingsReloaded", Info}
+	SettingsRefused  = Event{851, "settingsRefused", Error}
+	LogLinesDropped  = Event{860, "logLinesDropped", Warn}
+	InterfaceFailed  = Event{870, "interfaceFailed", Warn}
 )
 
 // All lists every event in the order of the numbers.
@@ -59,6 +81,10 @@
 		PlatformBack, ConfigurationByPeer, ListTaken, CutOff, CutOffEnded,
 		PeerUnreachable, PeerQueueFull, TargetCold, TargetWarm, TargetLost, TargetBroke,
 		RequestSuspect, RequestRefused, BookingUnknown, ListenerFailed,
+		RequestEnded, StoreLost, StoreRegained, StoreRead, CopyTaken, CopyFailed, EntryForeign, OrdersTaken,
+		TargetPublished, TargetWithdrawn, TargetDown, TargetOverdue, RequestCrashes,
+		DatagramFailed, DatagramOdd, MembersChanged, ClockSuspended, SettingsReloaded, SettingsRefused,
+		LogLinesDropped, InterfaceFailed,
 	}
 }
 
--- /dev/null
+++ b/internal/gossip/gossiper.go
@@ -0,0 +1,146 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/events"
+	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
+	"github.com/knapweedpoint/knapweedpoint/internal/roster"
+)
+
+const (
+	// Every is the time between two rounds; a member counts as alive for six of them.
+	Every = 400 * time.Millisecond
+	// fanOut is how many peers one round reaches.
+	fanOut = 3
+	// sampleSize is how many members one datagram tells of, some 60 bytes each.
+	sampleSize = 24
+	// seedEvery is how many rounds pass between datagrams to a seed, which joins parts that lost each other.
+	seedEvery = 5
+	// MaxDatagram bounds a datagram in bytes; UDP carries up to 64 KB.
+	MaxDatagram = 32 << 10
+)
+
+// Receiver is told what arrives in datagrams.
+type Receiver interface {
+	// Received takes one datagram of a peer.
+	Received(from roster.Member, d *gossippb.Datagram)
+}
+
+// Gossiper sends and receives a daemon's datagrams.
+type Gossiper struct {
+	Roster *roster.Roster
+	// Conn sends and receives datagrams.
+	Conn net.PacketConn
+	// Seeds returns the datagram addresses of daemons to start from.
+	Seeds    func() []string
+	Receiver Receiver
+	Log      *zap.Logger
+}
+
+// Run exchanges datagrams until ctx ends and the connection is closed.
+func (g *Gossiper) Run(ctx context.Context) {
+	ticker := time.NewTicker(Every)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		g.round(round)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (g *Gossiper) round(round int) {
+	now := time.Now()
+	self := g.Roster.Beat()
+	d := &gossippb.Datagram{
+		Self:    encodeMember(self),
+		Members: lo.Map(g.Roster.Sample(sampleSize, now), func(m roster.Member, _ int) *gossippb.Member { return encodeMember(m) }),
+	}
+	for _, p := range g.Roster.Sample(fanOut, now) {
+		g.send(p.Address, d)
+	}
+	if seeds := g.Seeds(); len(seeds) > 0 && (round%seedEvery == 0 || len(g.Roster.Peers(now)) == 0) {
+		g.send(seeds[rand.IntN(len(seeds))], d)
+	}
+}
+
+// Broadcast sends a datagram to every live peer.
+func (g *Gossiper) Broadcast(d *gossippb.Datagram) {
+	d.Self = encodeMember(g.Roster.Self())
+	for _, p := range g.Roster.Peers(time.Now()) {
+		g.send(p.Address, d)
+	}
+}
+
+func (g *Gossiper) send(address string, d *gossippb.Datagram) {
+	data, err := proto.Marshal(d)
+	if err != nil || len(data) > MaxDatagram {
+		events.DatagramFailed.Log(g.Log, zap.Int("bytes", len(data)), zap.Error(err))
+		return
+	}
+	to, err := net.ResolveUDPAddr("udp4", address)
+	if err == nil {
+		_, err = g.Conn.WriteTo(data, to)
+	}
+	if err != nil {
+		events.DatagramFailed.Log(g.Log, zap.String("to", address), zap.Error(err))
+	}
+}
+
+// Receive takes in datagrams until the connection is closed.
+func (g *Gossiper) Receive() {
+	buffer := make([]byte, MaxDatagram)
+	for {
+		n, _, err := g.Conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			events.DatagramFailed.Log(g.Log, zap.Error(err))
+			continue
+		}
+		g.take(buffer[:n])
+	}
+}
+
+func (g *Gossiper) take(data []byte) {
+	var d gossippb.Datagram
+	if err := proto.Unmarshal(data, &d); err != nil || d.GetSelf().GetName() == "" {
+		events.DatagramOdd.Log(g.Log, zap.Int("bytes", len(data)), zap.Error(err))
+		return
+	}
+	from := decodeMember(d.GetSelf())
+	if g.Roster.News(from) {
+		g.send(from.Address, &gossippb.Datagram{Self: encodeMember(g.Roster.Self())})
+	}
+	ms := lo.Map(d.GetMembers(), func(m *gossippb.Member, _ int) roster.Member { return decodeMember(m) })
+	g.Roster.Merge(append(ms, from), time.Now())
+	if g.Receiver != nil {
+		g.Receiver.Received(from, &d)
+	}
+}
+
+func encodeMember(m roster.Member) *gossippb.Member {
+	return &gossippb.Member{
+		Name: m.Name, Address: m.Address, Copies: m.Copies, AvailabilityZone: m.AvailabilityZone,
+		Incarnation: m.Incarnation, Beat: m.Beat, Leaving: m.Leaving,
+	}
+}
+
+func decodeMember(m *gossippb.Member) roster.Member {
+	return roster.Member{
+		Name: m.GetName(), Address: m.GetAddress(), Copies: m.GetCopies(), AvailabilityZone: m.GetAvailabilityZone(),
+		Incarnation: m.GetIncarnation(), Beat: m.GetBeat(), Leaving: m.GetLeaving(),
+	}
+}
--- a/internal/metrics/reporter.go
+++ b/internal/metrics/reporter.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -92,9 +93,15 @@
 	v.Count += samples
 }
 
-// ReportHistogramDurationSamples counts samples of a histogram.
+// ReportHistogramDurationSamples counts samples of a histogram, and those of each bucket under its upper bound in seconds.
 func (r *Reporter) ReportHistogramDurationSamples(name string, tags map[string]string, b tally.Buckets, low, upper time.Duration, samples int64) {
 	r.ReportHistogramValueSamples(name, tags, b, low.Seconds(), upper.Seconds(), samples)
+	bucket := maps.Clone(tags)
+	if bucket == nil {
+		bucket = map[string]string{}
+	}
+	bucket["upTo"] = strconv.FormatFloat(upper.Seconds(), 'g', 4, 64)
+	r.ReportCounter(name+"_bucket", bucket, samples)
 }
 
 // Capabilities says that the reporter keeps tags.
--- /dev/null
+++ b/internal/peercopy/doc.go
@@ -0,0 +1,2 @@
+// Package peercopy serves and fetches copies of the published state between daemons.
+package peercopy
--- a/internal/rendezvous/rank.go
+++ b/internal/rendezvous/rank.go
@@ -62,3 +62,16 @@
 	}
 	return best
 }
+
+// Names returns the first n names in the order in which they stand in for the key.
+func Names(key string, names []string, n int) []string {
+	ranked := slices.Clone(names)
+	weights := make(map[string]uint64, len(names))
+	for _, name := range names {
+		weights[name] = xxhash.Sum64String(key + "\x00" + name)
+	}
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
+	})
+	return ranked[:min(n, len(ranked))]
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,146 @@
+package roster
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// AliveFor is how long a member counts after its beat last grew: six rounds of gossip.
+	AliveFor = 2500 * time.Millisecond
+	// forgetAfter is how long a silent member is kept, so that old beats of it are not taken for news.
+	forgetAfter = time.Minute
+	// maxMembers bounds the memory of a roster; the goal is 450 daemons.
+	maxMembers = 2000
+)
+
+// Member is one daemon.
+type Member struct {
+	Name string
+	// Address is where the member takes datagrams, Copies where it serves copies of the published state.
+	Address          string
+	Copies           string
+	AvailabilityZone string
+	// Incarnation is the member's start in Unix milliseconds.
+	Incarnation uint64
+	// Beat grows with each round of the member's gossip.
+	Beat    uint64
+	Leaving bool
+}
+
+// newer reports whether m tells more than o about the same daemon.
+func (m Member) newer(o Member) bool {
+	if m.Incarnation != o.Incarnation {
+		return m.Incarnation > o.Incarnation
+	}
+	return m.Beat > o.Beat
+}
+
+type sighting struct {
+	member Member
+	at     time.Time
+}
+
+// Roster is one daemon's knowledge of all daemons.
+type Roster struct {
+	mu    sync.Mutex
+	self  Member
+	known map[string]sighting
+}
+
+// New returns a roster that knows only the daemon itself.
+func New(self Member) *Roster {
+	return &Roster{self: self, known: map[string]sighting{}}
+}
+
+// Beat starts a new round and returns the daemon itself.
+func (r *Roster) Beat() Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.self.Beat++
+	return r.self
+}
+
+// Self returns the daemon itself.
+func (r *Roster) Self() Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.self
+}
+
+// Leave marks the daemon itself as leaving.
+func (r *Roster) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.self.Leaving = true
+}
+
+// Merge takes in what another daemon knows.
+func (r *Roster) Merge(ms []Member, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range ms {
+		old, ok := r.known[m.Name]
+		if m.Name == r.self.Name || ok && !m.newer(old.member) || !ok && len(r.known) >= maxMembers {
+			continue
+		}
+		r.known[m.Name] = sighting{member: m, at: now}
+	}
+	for name, s := range r.known {
+		if now.Sub(s.at) > forgetAfter {
+			delete(r.known, name)
+		}
+	}
+}
+
+// News reports whether the roster has not heard of this start of a daemon, which then waits to hear of others.
+func (r *Roster) News(m Member) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old, ok := r.known[m.Name]
+	return !ok || m.Incarnation > old.member.Incarnation
+}
+
+// Peers returns the other daemons that are alive and not leaving, in the order of their names.
+func (r *Roster) Peers(now time.Time) []Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Member
+	for _, s := range r.known {
+		if now.Sub(s.at) <= AliveFor && !s.member.Leaving {
+			out = append(out, s.member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Names returns the names of all live daemons, the daemon itself among them unless it is leaving.
+func (r *Roster) Names(now time.Time) []string {
+	peers := r.Peers(now)
+	names := make([]string, 0, len(peers)+1)
+	for _, p := range peers {
+		names = append(names, p.Name)
+	}
+	if self := r.Self(); !self.Leaving {
+		names = append(names, self.Name)
+	}
+	return names
+}
+
+// Sample returns up to n live members at random, which a datagram tells of.
+func (r *Roster) Sample(n int, now time.Time) []Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Member
+	for _, s := range r.known {
+		if now.Sub(s.at) <= AliveFor {
+			out = append(out, s.member)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(n, len(out))]
+}
--- /dev/null
+++ b/internal/routetable/table.go
@@ -0,0 +1,78 @@
+package routetable
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table is one version of routes, services and limits; it is immutable and its zero value has no route.
+type Table struct {
+	// Version orders tables; a newer one has a greater number.
+	Version  uint64
+	Limits   Limits
+	services map[string]Service
+	byHost   map[string][]Route
+	routes   int
+}
+
+// New returns a table of the given routes and services.
+func New(version uint64, routes []Route, services []Service, limits Limits) *Table {
+	t := &Table{
+		Version:  version,
+		Limits:   limits,
+		services: make(map[string]Service, len(services)),
+		byHost:   map[string][]Route{},
+		routes:   len(routes),
+	}
+	for _, s := range services {
+		t.services[s.Name] = s
+	}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, rs := range t.byHost {
+		slices.SortStableFunc(rs, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t
+}
+
+// Find returns the route of the host with the longest prefix that begins the raw path.
+func (t *Table) Find(host, path string) (Route, bool) {
+	for _, r := range t.byHost[bareHost(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Service returns a service by its name; one that the table does not name has zero values.
+func (t *Table) Service(name string) Service {
+	return t.services[name]
+}
+
+// Names returns the names of all services, sorted.
+func (t *Table) Names() []string {
+	names := make([]string, 0, len(t.services))
+	for n := range t.services {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Len returns the number of routes.
+func (t *Table) Len() int { return t.routes }
+
+// bareHost drops a port and folds the case of a Host header.
+func bareHost(host string) string {
+	if strings.Contains(host, ":") {
+		if h, _, err := net.SplitHostPort(host); err == nil {
+			host = h
+		}
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/internal/split/picker.go
@@ -0,0 +1,58 @@
+package split
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
+)
+
+// maxRoutes bounds the routes whose state is kept.
+const maxRoutes = 4096
+
+// Picker takes turns between the parts of splits so that every run of requests is close to the weights;
+// its zero value is ready to use.
+type Picker struct {
+	mu     sync.Mutex
+	routes map[string]*turns
+}
+
+type turns struct {
+	parts  []routetable.Weighted
+	credit []float64
+}
+
+// Pick returns the service for the next request of a route; empty when no part has a weight above 0.
+func (p *Picker) Pick(route string, s routetable.Split) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.routes[route]
+	if t == nil || !slices.Equal(t.parts, s.Parts) {
+		t = &turns{parts: s.Parts, credit: make([]float64, len(s.Parts))}
+		if p.routes == nil || len(p.routes) >= maxRoutes {
+			p.routes = map[string]*turns{}
+		}
+		p.routes[route] = t
+	}
+	return t.next()
+}
+
+// next gives each part its weight as credit and takes the part with the most.
+func (t *turns) next() string {
+	total, best := 0.0, -1
+	for i, p := range t.parts {
+		if p.Weight <= 0 {
+			continue
+		}
+		total += p.Weight
+		t.credit[i] += p.Weight
+		if best < 0 || t.credit[i] > t.credit[best] {
+			best = i
+		}
+	}
+	if best < 0 {
+		return ""
+	}
+	t.credit[best] -= total
+	return t.parts[best].Service
+}
--- /dev/null
+++ b/internal/storesync/syncer.go
@@ -0,0 +1,438 @@
+package storesync
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
+	"github.com/knapweedpoint/knapweedpoint/internal/events"
+	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
+	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/orders"
+	"github.com/knapweedpoint/knapweedpoint/internal/published"
+	"github.com/knapweedpoint/knapweedpoint/internal/roster"
+)
+
+const (
+	// callTimeout bounds one read: the store answers in 4 ms, and two calls must fit into what limit leaves of the bound.
+	callTimeout = 400 * time.Millisecond
+	// maxCallTimeout bounds reads of a store that is slow; each that times out doubles the next one's time.
+	maxCallTimeout = 3200 * time.Millisecond
+	// firstBackoff and maxBackoff bound the pause after a failed read. All calls are priced, and a store that is
+	// back must be read within the 4 s after which daemons count as in touch.
+	firstBackoff = 250 * time.Millisecond
+	maxBackoff   = 2 * time.Second
+	// lapseGap is how old a copy is when entries may have expired while nobody could read: two heartbeats.
+	lapseGap = 2500 * time.Millisecond
+	// returnSpan is how soon after the store's return live targets have published themselves again.
+	returnSpan = 2500 * time.Millisecond
+	// coldSlack is how far two statements of one cold start may lie apart without being told to peers.
+	coldSlack = 400 * time.Millisecond
+	// joinWait is how long a daemon that starts waits for a peer to copy from before it reads.
+	joinWait = 300 * time.Millisecond
+	// firstStartSpread is the time over which daemons that start together spread their first reads.
+	firstStartSpread = 1500 * time.Millisecond
+	// joinPoll is how often a starting daemon looks for peers.
+	joinPoll = 20 * time.Millisecond
+)
+
+// Peers reaches the other daemons.
+type Peers interface {
+	// Push tells all live peers what changed.
+	Push(p *gossippb.Push)
+	// Fetch returns a peer's copy; version is the configuration that this daemon has.
+	Fetch(ctx context.Context, from roster.Member, version uint64) (*gossippb.Copy, error)
+	// Live returns the live peers.
+	Live() []roster.Member
+	// Rank returns the daemon's place, from 0, among those that read for all.
+	Rank() int
+}
+
+// Options of a Syncer.
+type Options struct {
+	Source Source
+	Peers  Peers
+	Cell   *blackboard.Cell[published.State]
+	// Bound returns within what time a leaving target must get no more work.
+	Bound func() time.Duration
+	// FirstStart is set when all daemons start for the first time.
+	FirstStart bool
+	// Changed is called after the copy changed, with the state before and after.
+	Changed func(before, after published.State)
+	Log     *zap.Logger
+}
+
+// Syncer keeps one daemon's copy of the published state.
+type Syncer struct {
+	o    Options
+	wake chan struct{}
+	// behind carries a peer that knows more than this daemon.
+	behind chan roster.Member
+
+	mu      sync.Mutex
+	history history
+	// returned is when a read first succeeded after the store had been away.
+	returned time.Time
+
+	// Only Run uses the fields below.
+	nextTry time.Time
+	backoff time.Duration
+	timeout time.Duration
+	lost    bool
+}
+
+// New returns a syncer of an empty copy.
+func New(o Options) *Syncer {
+	return &Syncer{o: o, wake: make(chan struct{}, 1), behind: make(chan roster.Member, 1), timeout: callTimeout}
+}
+
+// State returns the copy.
+func (s *Syncer) State() published.State {
+	if p := s.o.Cell.Get(); p != nil {
+		return *p
+	}
+	return published.State{}
+}
+
+// Doubt makes the daemon read at once, as after a time in which it did not run.
+func (s *Syncer) Doubt() {
+	s.o.Cell.Update(func(p *published.State) *published.State {
+		if p == nil {
+			return nil
+		}
+		next := *p
+		next.FreshAt = time.Time{}
+		return &next
+	})
+	s.nudge()
+}
+
+// Run reads whenever the copy has grown too old, until ctx ends.
+func (s *Syncer) Run(ctx context.Context) {
+	s.join(ctx)
+	for ctx.Err() == nil {
+		timer := time.NewTimer(s.due(time.Now()))
+		select {
+		case <-timer.C:
+			s.dropLapsed()
+			if s.due(time.Now()) <= 0 {
+				s.read(ctx)
+			}
+		case from := <-s.behind:
+			s.fetch(ctx, from)
+		case <-s.wake:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// join copies from a peer if one is found in time.
+func (s *Syncer) join(ctx context.Context) {
+	wait := joinWait
+	if s.o.FirstStart {
+		wait += time.Duration(rand.Int64N(int64(firstStartSpread)))
+	}
+	until := time.Now().Add(wait)
+	for time.Now().Before(until) && ctx.Err() == nil && !s.State().Configured() {
+		select {
+		case from := <-s.behind:
+			s.fetch(ctx, from)
+		default:
+			if live := s.o.Peers.Live(); len(live) > 0 && !s.o.FirstStart {
+				s.fetch(ctx, live[rand.IntN(len(live))])
+			}
+			time.Sleep(joinPoll)
+		}
+	}
+}
+
+// due returns how long the daemon need not read.
+func (s *Syncer) due(now time.Time) time.Duration {
+	at := s.State().FreshAt.Add(limit(s.o.Peers.Rank(), s.o.Bound()))
+	if s.nextTry.After(at) {
+		at = s.nextTry
+	}
+	return max(at.Sub(now), 0)
+}
+
+func (s *Syncer) nudge() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Syncer) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	begun := time.Now()
+	err := s.readOnce(ctx, begun)
+	if ctx.Err() != nil {
+		s.timeout = min(2*s.timeout, maxCallTimeout)
+	}
+	if err != nil {
+		s.failed(err)
+		return
+	}
+	if s.lost {
+		s.lost = false
+		events.StoreRegained.Log(s.o.Log, zap.Uint64("revision", s.State().Inventory.Revision))
+	}
+	s.timeout, s.backoff, s.nextTry = callTimeout, 0, time.Time{}
+	now := time.Now()
+	s.mu.Lock()
+	p := encodePush(&s.history, s.State(), now)
+	s.mu.Unlock()
+	s.o.Peers.Push(p)
+}
+
+func (s *Syncer) readOnce(ctx context.Context, begun time.Time) error {
+	state := s.State()
+	if state.Inventory.Revision == 0 || !state.Configured() {
+		return s.readAll(ctx, begun)
+	}
+	d, err := s.o.Source.Changes(ctx, state.Inventory.Revision)
+	if errorx.IsOfType(err, ErrForgotten) {
+		events.StoreRead.Log(s.o.Log, zap.String("why", "history forgotten"), zap.Uint64("after", state.Inventory.Revision))
+		return s.readAll(ctx, begun)
+	}
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(d, begun, true)
+	return nil
+}
+
+func (s *Syncer) readAll(ctx context.Context, begun time.Time) error {
+	f, err := s.o.Source.Read(ctx)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(difference(s.State(), f), begun, true)
+	events.StoreRead.Log(s.o.Log, zap.String("why", "whole"), zap.Uint64("revision", f.Revision), zap.Int("targets", len(f.Targets)))
+	return nil
+}
+
+func (s *Syncer) failed(err error) {
+	s.backoff = min(max(2*s.backoff, firstBackoff), maxBackoff)
+	// A random half keeps daemons that failed together from coming back together.
+	s.nextTry = time.Now().Add(s.backoff/2 + time.Duration(rand.Int64N(int64(s.backoff))))
+	if !s.lost {
+		s.lost = true
+		events.StoreLost.Log(s.o.Log, zap.Error(err), zap.Duration("age", time.Since(s.State().FreshAt)))
+	}
+}
+
+// apply takes in a delta that ends at or after the copy's revision; own says that this daemon read it from the store.
+// The caller holds mu.
+func (s *Syncer) apply(d Delta, at time.Time, own bool) {
+	before := s.State()
+	if d.Revision < before.Inventory.Revision {
+		return
+	}
+	now := time.Now()
+	d.Targets = lo.Filter(d.Targets, func(c inventory.Changed, _ int) bool { return c.At() > before.Inventory.Revision })
+	d.Targets = s.material(before.Inventory, d.Targets)
+	if own {
+		s.noteReturn(before.FreshAt, now)
+		d.Targets = s.keepLapsed(d.Targets, now)
+	}
+	after := before
+	after.Inventory = before.Inventory.With(d.Revision, d.Targets)
+	for _, c := range d.Orders {
+		after.Orders = after.Orders.With(c)
+	}
+	after = after.WithFreshAt(at)
+	s.history.add(step{from: before.Inventory.Revision, to: d.Revision, changes: d.Targets, at: now})
+	s.set(before, after)
+}
+
+func (s *Syncer) set(before, after published.State) {
+	s.o.Cell.Set(&after)
+	if s.o.Changed != nil {
+		s.o.Changed(before, after)
+	}
+	s.nudge()
+}
+
+// noteReturn remembers a read that follows a time in which nobody could read.
+func (s *Syncer) noteReturn(freshAt, now time.Time) {
+	if !freshAt.IsZero() && now.Sub(freshAt) > lapseGap {
+		s.returned = now
+	}
+}
+
+// keepLapsed holds removals back that may only be entries which expired while the store was away.
+func (s *Syncer) keepLapsed(changes []inventory.Changed, now time.Time) []inventory.Changed {
+	until := s.returned.Add(returnSpan)
+	if s.returned.IsZero() || !now.Before(until) {
+		return changes
+	}
+	out := make([]inventory.Changed, len(changes))
+	for i, c := range changes {
+		if g, gone := c.(inventory.Gone); gone {
+			g.KeepUntil = until
+			c = g
+		}
+		out[i] = c
+	}
+	return out
+}
+
+// material leaves out the changes that only renew an entry.
+func (s *Syncer) material(inv inventory.Inventory, changes []inventory.Changed) []inventory.Changed {
+	latest := map[string]inventory.Changed{}
+	var out []inventory.Changed
+	for _, c := range changes {
+		p, put := c.(inventory.Put)
+		if !put {
+			latest[c.(inventory.Gone).ID] = c
+			out = append(out, c)
+			continue
+		}
+		old, known := inv.Target(p.Target.ID)
+		_, touched := latest[p.Target.ID]
+		if last, ok := latest[p.Target.ID].(inventory.Put); ok {
+			old = last.Target
+		}
+		if known && !touched && p.Target.SameAs(old, coldSlack) && !inv.Lapsing(p.Target.ID) {
+			continue
+		}
+		latest[p.Target.ID] = c
+		out = append(out, c)
+	}
+	return out
+}
+
+// dropLapsed removes the targets that did not publish themselves again.
+func (s *Syncer) dropLapsed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.State()
+	after := before
+	after.Inventory = before.Inventory.WithoutLapsed(time.Now())
+	if after.Inventory.Len() != before.Inventory.Len() {
+		s.set(before, after)
+	}
+}
+
+// Take applies a push of a peer, or asks for its whole copy when something in between is missing.
+func (s *Syncer) Take(from roster.Member, p *gossippb.Push) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	state := s.State()
+	if p.GetVersion() > state.Orders.Version() || p.GetFrom() > state.Inventory.Revision {
+		select {
+		case s.behind <- from:
+		default:
+		}
+		return
+	}
+	d := Delta{Revision: p.GetTo(), Targets: decodeChanges(p, now)}
+	d.Orders = zoneChanges(state.Orders.ZonesOut, p.GetZonesOut())
+	s.apply(d, now.Add(-span(p.GetAgeMillis())), false)
+}
+
+// Copy returns what a peer asks for.
+func (s *Syncer) Copy(have uint64) *gossippb.Copy {
+	return encodeCopy(s.State(), have, time.Now())
+}
+
+func (s *Syncer) fetch(ctx context.Context, from roster.Member) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	begun := time.Now()
+	c, err := s.o.Peers.Fetch(ctx, from, s.State().Orders.Version())
+	if err == nil {
+		err = s.takeCopy(c, begun)
+	}
+	if err != nil {
+		events.CopyFailed.Log(s.o.Log, zap.String("peer", from.Name), zap.Error(err))
+		return
+	}
+	events.CopyTaken.Log(s.o.Log, zap.String("peer", from.Name), zap.Uint64("revision", c.GetRevision()),
+		zap.Uint64("version", c.GetVersion()), zap.Uint32("ageMillis", c.GetAgeMillis()))
+}
+
+func (s *Syncer) takeCopy(c *gossippb.Copy, begun time.Time) error {
+	if c.GetRevision() == 0 {
+		return nil
+	}
+	var change []orders.Change
+	if doc := c.GetConfiguration(); len(doc) > 0 {
+		table, err := s.o.Source.Configuration(doc)
+		if err != nil {
+			return errorx.Decorate(err, "configuration of a peer")
+		}
+		change = append(change, orders.Configuration{Table: table, Document: doc})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.State()
+	if c.GetRevision() < before.Inventory.Revision {
+		// The peer's targets are older than ours; only a newer configuration is of use.
+		s.apply(Delta{Revision: before.Inventory.Revision, Orders: change}, time.Time{}, false)
+		return nil
+	}
+	f := Full{Revision: c.GetRevision(), Orders: before.Orders.WithZonesOut(c.GetZonesOut())}
+	for _, t := range c.GetTargets() {
+		f.Targets = append(f.Targets, decodeTarget(t, begun))
+	}
+	d := difference(before, f)
+	d.Orders = append(d.Orders, change...)
+	s.apply(d, begun.Add(-span(c.GetAgeMillis())), false)
+	return nil
+}
+
+// difference returns what leads from a state to a full read.
+func difference(before published.State, f Full) Delta {
+	d := Delta{Revision: f.Revision}
+	seen := map[string]bool{}
+	for _, t := range f.Targets {
+		seen[t.ID] = true
+		d.Targets = append(d.Targets, inventory.Put{Target: t})
+	}
+	for _, t := range before.Inventory.All() {
+		if !seen[t.ID] {
+			d.Targets = append(d.Targets, inventory.Gone{ID: t.ID, Revision: f.Revision})
+		}
+	}
+	if f.Orders.Table != nil {
+		d.Orders = append(d.Orders, orders.Configuration{Table: f.Orders.Table, Document: f.Orders.Document})
+	}
+	d.Orders = append(d.Orders, zoneChanges(before.Orders.ZonesOut, f.Orders.ZonesOut)...)
+	return d
+}
+
+func zoneChanges(before, after []string) []orders.Change {
+	var out []orders.Change
+	for _, z := range after {
+		if !slices.Contains(before, z) {
+			out = append(out, orders.ZoneOut{Name: z})
+		}
+	}
+	for _, z := range before {
+		if !slices.Contains(after, z) {
+			out = append(out, orders.ZoneBack{Name: z})
+		}
+	}
+	return out
+}
+
+func sortByRevision(changes []inventory.Changed) {
+	slices.SortStableFunc(changes, func(a, b inventory.Changed) int { return cmp.Compare(a.At(), b.At()) })
+}
--- /dev/null
+++ b/internal/storesync/wire.go
@@ -0,0 +1,84 @@
+package storesync
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
+	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/published"
+)
+
+func encodeTarget(t inventory.Target, now time.Time) *gossippb.Target {
+	return &gossippb.Target{
+		Id: t.ID, Service: t.Service, Address: t.Address, AvailabilityZone: t.AvailabilityZone,
+		Slots: uint32(max(t.Slots, 0)), Draining: t.Draining, Born: t.Born,
+		ColdLeftMillis: millis(t.ColdUntil.Sub(now)), Revision: t.Revision,
+	}
+}
+
+func decodeTarget(t *gossippb.Target, now time.Time) inventory.Target {
+	out := inventory.Target{
+		ID: t.GetId(), Service: t.GetService(), Address: t.GetAddress(), AvailabilityZone: t.GetAvailabilityZone(),
+		Slots: int(t.GetSlots()), Draining: t.GetDraining(), Born: t.GetBorn(), Revision: t.GetRevision(),
+	}
+	if left := t.GetColdLeftMillis(); left > 0 {
+		out.ColdUntil = now.Add(span(left))
+	}
+	return out
+}
+
+func encodePush(h *history, s published.State, now time.Time) *gossippb.Push {
+	from, changes := h.all()
+	p := &gossippb.Push{
+		From: from, To: s.Inventory.Revision, AgeMillis: millis(now.Sub(s.FreshAt)),
+		Version: s.Orders.Version(), ZonesOut: s.Orders.ZonesOut,
+	}
+	for _, c := range changes {
+		switch c := c.(type) {
+		case inventory.Put:
+			p.Puts = append(p.Puts, encodeTarget(c.Target, now))
+		case inventory.Gone:
+			p.Removals = append(p.Removals, &gossippb.Removal{Id: c.ID, Revision: c.Revision, KeepMillis: millis(c.KeepUntil.Sub(now))})
+		}
+	}
+	return p
+}
+
+// decodeChanges returns the changes of a push in the order of their revisions.
+func decodeChanges(p *gossippb.Push, now time.Time) []inventory.Changed {
+	var out []inventory.Changed
+	for _, t := range p.GetPuts() {
+		out = append(out, inventory.Put{Target: decodeTarget(t, now)})
+	}
+	for _, r := range p.GetRemovals() {
+		g := inventory.Gone{ID: r.GetId(), Revision: r.GetRevision()}
+		if r.GetKeepMillis() > 0 {
+			g.KeepUntil = now.Add(span(r.GetKeepMillis()))
+		}
+		out = append(out, g)
+	}
+	sortByRevision(out)
+	return out
+}
+
+func encodeCopy(s published.State, have uint64, now time.Time) *gossippb.Copy {
+	c := &gossippb.Copy{
+		Revision: s.Inventory.Revision, AgeMillis: millis(now.Sub(s.FreshAt)),
+		ZonesOut: s.Orders.ZonesOut, Version: s.Orders.Version(),
+		Targets: lo.Map(s.Inventory.All(), func(t inventory.Target, _ int) *gossippb.Target { return encodeTarget(t, now) }),
+	}
+	if s.Orders.Version() > have {
+		c.Configuration = s.Orders.Document
+	}
+	return c
+}
+
+func millis(d time.Duration) uint32 {
+	return uint32(max(d.Milliseconds(), 0))
+}
+
+func span(millis uint32) time.Duration {
+	return time.Duration(millis) * time.Millisecond
+}
--- /dev/null
+++ b/internal/targetpool/conn.go
@@ -0,0 +1,49 @@
+package targetpool
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+)
+
+// readBuffer holds a usual answer in one read.
+const readBuffer = 4 << 10
+
+// Conn is one connection to one target.
+type Conn struct {
+	net.Conn
+	// Reader reads what the target sends.
+	Reader *bufio.Reader
+	// Reused is set when the connection has carried a call before.
+	Reused bool
+	target string
+	until  time.Time
+}
+
+func newConn(c net.Conn, target string) *Conn {
+	return &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBuffer), target: target}
+}
+
+// quiet reports whether nothing has arrived and the target has not closed the connection.
+func (c *Conn) quiet() bool {
+	if c.Reader.Buffered() > 0 {
+		return false
+	}
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peek [1]byte
+	silent := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, e := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		silent = e == syscall.EAGAIN || e == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && silent
+}
