--- a/internal/choice/book.go
+++ b/internal/choice/book.go
@@ -195,6 +195,7 @@
 		k.record.addFailure(now)
 		return
 	}
+	k.record.stalledUntil = time.Time{}
 	took := now.Sub(k.begun)
 	u := k.book.usually(k.class)
 	k.record.addRatio(float64(took)/(float64(u.median)*(1+k.ahead)), now)
--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -22,6 +22,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
 	"github.com/knapweedpoint/knapweedpoint/internal/scatter"
 	"github.com/knapweedpoint/knapweedpoint/internal/split"
+	"github.com/knapweedpoint/knapweedpoint/internal/stallhint"
 	"github.com/knapweedpoint/knapweedpoint/internal/storesync"
 )
 
@@ -52,6 +53,7 @@
 		return err
 	}
 	d.syncer = syncer
+	d.hints = &stallhint.Teller{Tell: syncer.gossiper.Broadcast}
 	d.forwarder = do.MustInvoke[*forward.Forwarder](d.injector)
 	d.housekeep = do.MustInvoke[*housekeeper](d.injector)
 	d.callers = d.o.NewCallers(d.Answer)
@@ -124,6 +126,7 @@
 		Inventory: func() inventory.Inventory { return d.State().Inventory },
 		Group:     &d.sends,
 		Report:    d.reported,
+		Overdue:   d.overdue,
 	}, nil
 }
 
--- a/internal/entry/changes.go
+++ b/internal/entry/changes.go
@@ -13,6 +13,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/permission"
 	"github.com/knapweedpoint/knapweedpoint/internal/published"
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
+	"github.com/knapweedpoint/knapweedpoint/internal/stallhint"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
 )
 
@@ -64,4 +65,15 @@
 	if p := m.GetPush(); p != nil {
 		d.syncer.syncer.Take(from, p)
 	}
+	now := time.Now()
+	for _, x := range m.GetStalls() {
+		if t, ok := d.State().Inventory.Target(x.GetTarget()); ok {
+			d.forwarder.Book.Stalled(t, now.Add(stallhint.Valid))
+		}
+	}
+}
+
+// overdue tells peers of a target whose answer is overdue.
+func (d *Daemon) overdue(t inventory.Target) {
+	d.hints.Overdue(t.ID, time.Now())
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/gossip"
 	"github.com/knapweedpoint/knapweedpoint/internal/published"
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
+	"github.com/knapweedpoint/knapweedpoint/internal/stallhint"
 	"github.com/knapweedpoint/knapweedpoint/internal/storesync"
 	"github.com/knapweedpoint/knapweedpoint/pkg/settings"
 )
@@ -38,6 +39,7 @@
 	peers     *http.Server
 	metrics   *http.Server
 	housekeep *housekeeper
+	hints     *stallhint.Teller
 
 	group errgroup.Group
 	// sends outlast the requests that made them; nothing waits for them at the end.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -43,11 +43,10 @@
 
 // flight is one send under way.
 type flight struct {
-	target  inventory.Target
-	ticket  *choice.Ticket
-	cancel  context.CancelFunc
-	begun   time.Time
-	overdue bool
+	target inventory.Target
+	ticket *choice.Ticket
+	cancel context.CancelFunc
+	begun  time.Time
 }
 
 type ended struct {
@@ -194,11 +193,8 @@
 	}
 	now := time.Now()
 	late := r.flying[len(r.flying)-1]
-	if !late.overdue {
-		late.overdue = true
-		if r.forwarder.Overdue != nil {
-			r.forwarder.Overdue(late.target)
-		}
+	if r.forwarder.Overdue != nil {
+		r.forwarder.Overdue(late.target)
 	}
 	if !r.job.Route.Repeatable || len(r.flying) > 1 {
 		return
