--- a/internal/choice/book.go
+++ b/internal/choice/book.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
 )
@@ -12,7 +14,7 @@
 const (
 	// PatienceFactor times the usual duration is how long a call may take before its target counts as stalled
 	// and a second send is due; with work spread by a third, 1 in 50 calls takes longer.
-	PatienceFactor = 2.2
+	PatienceFactor = 1.8
 	// fullFor is how long a target that refused a call is avoided: about one turn of its slots.
 	fullFor = 15 * time.Millisecond
 	// unreachableFor is how long a target that did not accept a connection is avoided: two heartbeats,
@@ -79,6 +81,20 @@
 	return r != nil && now.Before(r.downUntil)
 }
 
+// Up returns the targets that accepted connections of late.
+func (b *Book) Up(targets []inventory.Target, now time.Time) []inventory.Target {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	down := func(t inventory.Target, _ int) bool {
+		r := b.records[t.ID]
+		return r != nil && now.Before(r.downUntil)
+	}
+	if !lo.ContainsBy(targets, func(t inventory.Target) bool { return down(t, 0) }) {
+		return targets
+	}
+	return lo.Reject(targets, down)
+}
+
 func (b *Book) usually(c Class) *usual {
 	u := b.usual[c.Name]
 	if u == nil {
--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -124,7 +124,7 @@
 		Gate:      do.MustInvoke[*permission.Gate](i),
 		Budget:    do.MustInvoke[*retrybudget.Budget](i),
 		Inventory: func() inventory.Inventory { return d.State().Inventory },
-		Group:     &d.sends,
+		Workers:   &d.sends,
 		Report:    d.reported,
 		Overdue:   d.overdue,
 	}, nil
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
 	"github.com/knapweedpoint/knapweedpoint/internal/stallhint"
 	"github.com/knapweedpoint/knapweedpoint/internal/storesync"
+	"github.com/knapweedpoint/knapweedpoint/internal/workers"
 	"github.com/knapweedpoint/knapweedpoint/pkg/settings"
 )
 
@@ -43,7 +44,7 @@
 
 	group errgroup.Group
 	// sends outlast the requests that made them; nothing waits for them at the end.
-	sends errgroup.Group
+	sends workers.Pool
 }
 
 // syncerParts are the parts that spread the published state.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -4,16 +4,15 @@
 	"context"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/knapweedpoint/knapweedpoint/internal/choice"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/permission"
 	"github.com/knapweedpoint/knapweedpoint/internal/retrybudget"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
+	"github.com/knapweedpoint/knapweedpoint/internal/workers"
 )
 
-// Forwarder sends jobs to targets; all fields but Report are needed.
+// Forwarder sends jobs to targets; all fields but Report and Overdue are needed.
 type Forwarder struct {
 	Sender targetcall.Sender
 	Book   *choice.Book
@@ -21,21 +20,28 @@
 	Budget *retrybudget.Budget
 	// Inventory returns the targets known at the moment.
 	Inventory func() inventory.Inventory
-	// Group runs the sends, which may outlast their job.
-	Group *errgroup.Group
+	// Workers run the sends, which may outlast their job.
+	Workers *workers.Pool
 	// Report is told how each send ended.
 	Report func(t inventory.Target, r targetcall.Result)
-	// Overdue is told when a target's call is overdue.
+	// Overdue is told when a target's answer is overdue.
 	Overdue func(t inventory.Target)
 }
 
-// Run answers a job; it returns at the latest when the job's time is up or ctx ends because the caller left.
+// Run answers one job; it returns at the latest when the job's time is up or ctx ends because the caller left.
 func (f *Forwarder) Run(ctx context.Context, j Job) (Outcome, Trace) {
-	r := &run{forwarder: f, job: j, results: make(chan ended, maxSends), tried: map[string]bool{}}
-	f.Budget.Request(j.Service, time.Now())
-	defer r.release()
-	out := r.loop(ctx)
-	return out, r.trace
+	b := f.Start([]Job{j})
+	defer b.Release()
+	for {
+		e, ok := b.Next(ctx, time.Time{})
+		switch {
+		case ok:
+			return e.Outcome, e.Trace
+		case ctx.Err() != nil:
+			b.Abandon()
+			return Lost{Reason: ReasonCaller}, b.runs[0].trace
+		}
+	}
 }
 
 // Reachable reports whether any target of the service may receive work now.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -13,7 +13,7 @@
 
 const (
 	// maxSends bounds the sends of one job, refused ones counted.
-	maxSends = 8
+	maxSends = 6
 	// linger is how long a send that lost against a second one may go on, so that its connection stays usable;
 	// it is longer than a target's pause of 200 ms.
 	linger = 300 * time.Millisecond
@@ -25,24 +25,29 @@
 	retryWhenGone = 500 * time.Millisecond
 )
 
-// run is one job under way; only the goroutine of loop uses it.
+// run is one job under way.
 type run struct {
-	forwarder *Forwarder
-	job       Job
-	results   chan ended
-	flying    []*flight
-	tried     map[string]bool
+	batch  *Batch
+	index  int
+	job    Job
+	flying []*flight
+	tried  []string
 	// used counts the sends that ran, or may have.
 	used  int
 	sends int
-	// last is the best failure so far.
-	last   Outcome
-	hedgeT *time.Timer
-	trace  Trace
+	// last is the failure to return when nothing is left to try.
+	last Outcome
+	// outcome is set once the job has ended.
+	outcome Outcome
+	// hedgeAt is when a second send is due, retryAt when full targets are asked again; zero when neither is.
+	hedgeAt time.Time
+	retryAt time.Time
+	trace   Trace
 }
 
 // flight is one send under way.
 type flight struct {
+	run    *run
 	target inventory.Target
 	ticket *choice.Ticket
 	cancel context.CancelFunc
@@ -54,39 +59,48 @@
 	result targetcall.Result
 }
 
-func (r *run) loop(ctx context.Context) Outcome {
-	timeout := time.NewTimer(time.Until(r.job.Until))
-	defer timeout.Stop()
-	r.hedgeT = time.NewTimer(time.Hour)
-	defer r.hedgeT.Stop()
-	if !r.launch(false) {
+func (r *run) start(now time.Time) Outcome {
+	if !r.launch(false, now) {
 		return r.giveUp()
 	}
-	for {
-		select {
-		case e := <-r.results:
-			if out := r.take(e); out != nil {
-				return out
-			}
-		case <-r.hedgeT.C:
-			r.hedge()
-		case <-timeout.C:
-			return r.timedOut()
-		case <-ctx.Done():
-			r.abandon()
-			return Lost{Reason: ReasonCaller}
+	return nil
+}
+
+// due returns when the run must act next.
+func (r *run) due() time.Time {
+	at := r.job.Until
+	for _, t := range []time.Time{r.hedgeAt, r.retryAt} {
+		if !t.IsZero() && t.Before(at) {
+			at = t
 		}
 	}
+	return at
+}
+
+// tick acts on what is due and returns the job's outcome, nil while it goes on.
+func (r *run) tick(now time.Time) Outcome {
+	if !now.Before(r.job.Until) {
+		return r.timedOut()
+	}
+	if !r.retryAt.IsZero() && !now.Before(r.retryAt) {
+		r.retryAt = time.Time{}
+		if !r.launch(true, now) {
+			return r.giveUp()
+		}
+	}
+	if !r.hedgeAt.IsZero() && !now.Before(r.hedgeAt) {
+		r.hedge(now)
+	}
+	return nil
 }
 
 // launch sends to the best target that was not tried; again allows those that were.
-func (r *run) launch(again bool) bool {
+func (r *run) launch(again bool, now time.Time) bool {
 	if r.sends >= maxSends || r.used+len(r.flying) >= max(r.job.Route.Attempts, 1) {
 		return false
 	}
-	now := time.Now()
 	c, ok := r.pick(again, now)
-	if !ok || !r.forwarder.Gate.Enter(c.Target, now) {
+	if !ok || !r.batch.forwarder.Gate.Enter(c.Target, now) {
 		return false
 	}
 	r.send(c.Target, now)
@@ -94,12 +108,12 @@
 }
 
 func (r *run) pick(again bool, now time.Time) (choice.Choice, bool) {
-	f := r.forwarder
+	f := r.batch.forwarder
 	open := f.Gate.Allowed(f.Inventory().Of(r.job.Service), now)
-	if !again {
-		open = lo.Reject(open, func(t inventory.Target, _ int) bool { return r.tried[t.ID] })
+	if !again && len(r.tried) > 0 {
+		open = lo.Reject(open, func(t inventory.Target, _ int) bool { return lo.Contains(r.tried, t.ID) })
 	}
-	up := lo.Reject(open, func(t inventory.Target, _ int) bool { return f.Book.Down(t.ID, now) })
+	up := f.Book.Up(open, now)
 	if len(up) > 0 {
 		open = up
 	}
@@ -107,32 +121,35 @@
 }
 
 func (r *run) send(t inventory.Target, now time.Time) {
-	f := r.forwarder
-	// The send may outlast the job's caller only by linger, or run to its end when it must not be repeated.
-	ctx, cancel := context.WithDeadline(context.Background(), r.job.Until)
-	fl := &flight{target: t, ticket: f.Book.Begin(r.job.class(), t, now), cancel: cancel, begun: now}
+	f := r.batch.forwarder
+	// The send may outlast the job's caller: by linger, or to its end when it must not be repeated.
+	ctx, cancel := context.WithCancel(context.Background())
+	fl := &flight{run: r, target: t, ticket: f.Book.Begin(r.job.class(), t, now), cancel: cancel, begun: now}
 	r.flying = append(r.flying, fl)
-	r.tried[t.ID] = true
+	r.tried = append(r.tried, t.ID)
 	r.sends++
+	r.hedgeAt = now.Add(fl.ticket.Patience())
 	call := targetcall.Call{Target: t, Request: r.job.Request, Left: r.job.Until.Sub(now)}
-	results := r.results
-	f.Group.Go(func() error {
+	results := r.batch.results
+	f.Workers.Go(func() {
 		result := f.Sender.Send(ctx, call)
-		fl.ticket.End(result, ctx.Err() != nil, time.Now())
-		if f.Report != nil && ctx.Err() == nil {
+		cancelled := ctx.Err() != nil
+		fl.ticket.End(result, cancelled, time.Now())
+		if f.Report != nil && !cancelled {
 			f.Report(t, result)
 		}
 		cancel()
 		results <- ended{flight: fl, result: result}
-		return nil
 	})
-	r.hedgeT.Reset(fl.ticket.Patience())
 }
 
 // take notes one ended send and returns the job's outcome, nil while it goes on.
-func (r *run) take(e ended) Outcome {
+func (r *run) take(e ended, now time.Time) Outcome {
 	r.flying = lo.Without(r.flying, e.flight)
-	r.note(e)
+	r.note(e, now)
+	if r.outcome != nil {
+		return nil
+	}
 	switch x := e.result.(type) {
 	case targetcall.Answered:
 		if x.Final() {
@@ -140,74 +157,76 @@
 		}
 		r.used++
 		r.last = Failed{Answer: x, Target: e.flight.target.ID}
-		return r.after(r.job.Route.Repeatable, true)
+		return r.after(r.job.Route.Repeatable, true, now)
 	case targetcall.Refused:
-		return r.after(true, true)
+		return r.after(true, true, now)
 	case targetcall.NotSent:
-		return r.after(true, false)
+		return r.after(true, false, now)
 	case targetcall.Unknown:
 		r.used++
 		if r.last == nil {
 			r.last = Lost{Reason: ReasonBroken}
 		}
-		return r.after(r.job.Route.Repeatable, true)
+		return r.after(r.job.Route.Repeatable, true, now)
 	default:
 		panic("forward: unknown result")
 	}
 }
 
 // after starts another send if that is allowed; arrived says that the last one reached its target.
-func (r *run) after(mayRepeat, arrived bool) Outcome {
+func (r *run) after(mayRepeat, arrived bool, now time.Time) Outcome {
 	if len(r.flying) > 0 {
 		return nil
 	}
-	if !mayRepeat {
+	r.hedgeAt = time.Time{}
+	if !mayRepeat || r.used >= max(r.job.Route.Attempts, 1) {
 		return r.giveUp()
 	}
-	if arrived && !r.forwarder.Budget.Spend(r.job.Service, time.Now()) {
+	if arrived && !r.batch.forwarder.Budget.Spend(r.job.Service, now) {
 		return r.giveUp()
 	}
-	if r.launch(false) {
+	if r.launch(false, now) {
 		return nil
 	}
-	if r.last == nil && r.sends < maxSends && r.backOff() && r.launch(true) {
+	if r.last == nil && r.sends < maxSends && r.backOff(now) {
 		return nil
 	}
 	return r.giveUp()
 }
 
-// backOff waits until a full target may have a slot; false when the objective would pass meanwhile.
-func (r *run) backOff() bool {
-	wait := max(r.forwarder.Book.Usual(r.job.class())/2, minBackoff)
-	if time.Until(r.job.Until) < 2*wait {
+// backOff plans another round over targets that were all full; false when there is no time for one.
+func (r *run) backOff(now time.Time) bool {
+	wait := max(r.batch.forwarder.Book.Usual(r.job.class())/2, minBackoff)
+	if r.job.Until.Sub(now) < 2*wait {
 		return false
 	}
-	time.Sleep(wait)
+	r.retryAt = now.Add(wait)
 	return true
 }
 
 // hedge makes a second send when the first is overdue, another target is free sooner and the budget allows it.
-func (r *run) hedge() {
+func (r *run) hedge(now time.Time) {
+	r.hedgeAt = time.Time{}
 	if len(r.flying) == 0 {
 		return
 	}
-	now := time.Now()
+	f := r.batch.forwarder
 	late := r.flying[len(r.flying)-1]
-	if r.forwarder.Overdue != nil {
-		r.forwarder.Overdue(late.target)
+	if f.Overdue != nil {
+		f.Overdue(late.target)
 	}
 	if !r.job.Route.Repeatable || len(r.flying) > 1 {
 		return
 	}
-	r.hedgeT.Reset(late.ticket.Patience() / 2)
+	r.hedgeAt = now.Add(late.ticket.Patience() / 2)
 	if r.used+len(r.flying) >= r.job.Route.Attempts || r.sends >= maxSends {
 		return
 	}
 	c, ok := r.pick(false, now)
-	if !ok || c.Expected > now.Sub(late.begun)*2 || r.forwarder.Book.Down(c.Target.ID, now) {
+	if !ok || c.Expected > now.Sub(late.begun)*2 || f.Book.Down(c.Target.ID, now) {
 		return
 	}
-	if !r.forwarder.Gate.Enter(c.Target, now) || !r.forwarder.Budget.Spend(r.job.Service, now) {
+	if !f.Gate.Enter(c.Target, now) || !f.Budget.Spend(r.job.Service, now) {
 		return
 	}
 	r.trace.Hedged++
@@ -234,15 +253,15 @@
 	return Lost{Reason: ReasonTimeout, Timeout: true}
 }
 
-// abandon cancels what is under way because the caller left; what must not be repeated runs to its end.
+// abandon cancels what is under way; what must not be repeated runs to its end.
 func (r *run) abandon() {
 	if !r.job.Route.Repeatable {
-		r.flying = nil
 		return
 	}
 	for _, fl := range r.flying {
 		fl.cancel()
 	}
+	r.flying = nil
 }
 
 // release lets the sends that lost go on for a while and then cancels them.
@@ -255,11 +274,11 @@
 	}
 }
 
-func (r *run) note(e ended) {
+func (r *run) note(e ended, now time.Time) {
 	r.trace.Sends = append(r.trace.Sends, Sent{
 		Target: e.flight.target.ID,
 		Ending: ending(e.result),
-		Millis: float64(time.Since(e.flight.begun).Microseconds()) / 1000,
+		Millis: float64(now.Sub(e.flight.begun).Microseconds()) / 1000,
 	})
 }
 
--- a/internal/permission/gate.go
+++ b/internal/permission/gate.go
@@ -64,6 +64,9 @@
 func (g *Gate) Allowed(targets []inventory.Target, now time.Time) []inventory.Target {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if lo.EveryBy(targets, func(t inventory.Target) bool { return g.warm(t, now) }) {
+		return targets
+	}
 	open := lo.Filter(targets, func(t inventory.Target, _ int) bool { return !t.Draining && !g.zones[t.AvailabilityZone].out })
 	warm, cold := lo.FilterReject(open, func(t inventory.Target, _ int) bool { return !g.cold(t, now) })
 	if len(warm) > 0 {
@@ -103,6 +106,11 @@
 	}
 }
 
+// warm reports whether nothing speaks against a target.
+func (g *Gate) warm(t inventory.Target, now time.Time) bool {
+	return !t.Draining && !g.zones[t.AvailabilityZone].out && !g.cold(t, now)
+}
+
 func (g *Gate) cold(t inventory.Target, now time.Time) bool {
 	return t.Cold(now) || now.Before(g.zones[t.AvailabilityZone].coldUntil)
 }
--- a/internal/scatter/collection.go
+++ b/internal/scatter/collection.go
@@ -16,43 +16,43 @@
 	left       int
 	heap       topk.Heap
 	signatures []string
-	ended      map[string]part
+	// ended holds the shards that have ended, by their place; the others have no outcome.
+	ended      []forward.Ended
 	mayHaveRun bool
 	lastReason string
 	retryAfter time.Duration
+	// cutAt is when the collection acted on the cut, zero when it ended before.
+	cutAt time.Time
 }
 
 // collect returns when all parts are in, when enough are in and the time of the cut has come, or when too few can come.
-func (c *collection) collect(ctx context.Context, parts <-chan part, cut time.Time) Outcome {
-	atCut := time.NewTimer(time.Until(cut))
-	defer atCut.Stop()
-	late := false
+func (c *collection) collect(ctx context.Context, batch *forward.Batch, cut time.Time) Outcome {
+	wake := cut
 	for c.left > 0 {
-		select {
-		case p := <-parts:
-			c.take(p)
-		case <-atCut.C:
-			late = true
-		case <-ctx.Done():
+		e, ok := batch.Next(ctx, wake)
+		switch {
+		case ok:
+			c.take(e)
+		case ctx.Err() != nil:
 			return Failed{Reason: forward.ReasonCaller}
+		default:
+			wake = time.Time{}
+			c.cutAt = time.Now()
 		}
 		if len(c.signatures)+c.left < c.need {
 			return c.fail()
 		}
-		if late && len(c.signatures) >= c.need {
+		if wake.IsZero() && len(c.signatures) >= c.need {
 			return c.merge()
 		}
 	}
 	return c.merge()
 }
 
-func (c *collection) take(p part) {
+func (c *collection) take(e forward.Ended) {
 	c.left--
-	if c.ended == nil {
-		c.ended = map[string]part{}
-	}
-	c.ended[p.shard] = p
-	switch o := p.outcome.(type) {
+	c.ended[e.Index] = e
+	switch o := e.Outcome.(type) {
 	case forward.Done:
 		c.mayHaveRun = true
 		if !o.Answer.Good() {
@@ -92,18 +92,18 @@
 // trace returns what is worth a log line.
 func (c *collection) trace(shards []string) Trace {
 	t := Trace{Odd: map[string]forward.Trace{}, Missing: map[string]string{}}
-	for _, s := range shards {
-		p, ok := c.ended[s]
-		if !ok {
+	for i, s := range shards {
+		e := c.ended[i]
+		if e.Outcome == nil {
 			t.Missing[s] = "notYet"
 			continue
 		}
-		t.Hedged += p.trace.Hedged
-		if o, done := p.outcome.(forward.Done); !done || !o.Answer.Good() {
-			t.Missing[s] = p.outcome.Word()
+		t.Hedged += e.Trace.Hedged
+		if o, done := e.Outcome.(forward.Done); !done || !o.Answer.Good() {
+			t.Missing[s] = e.Outcome.Word()
 		}
-		if len(p.trace.Sends) != 1 || p.trace.Hedged > 0 {
-			t.Odd[s] = p.trace
+		if len(e.Trace.Sends) != 1 || e.Trace.Hedged > 0 {
+			t.Odd[s] = e.Trace
 		}
 	}
 	return t
--- a/internal/scatter/gatherer.go
+++ b/internal/scatter/gatherer.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/samber/lo"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
+	"github.com/knapweedpoint/knapweedpoint/internal/lag"
 	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
 	"github.com/knapweedpoint/knapweedpoint/internal/topk"
@@ -17,9 +17,10 @@
 // retryWhenDark is told to callers when too many shards have no target: one is published again within a second.
 const retryWhenDark = 500 * time.Millisecond
 
-// Runner answers one job of one shard.
+// Runner answers the jobs of all shards.
 type Runner interface {
-	Run(ctx context.Context, j forward.Job) (forward.Outcome, forward.Trace)
+	// Start sends each job to its first target.
+	Start(jobs []forward.Job) *forward.Batch
 	// Reachable reports whether any target of the service may receive work now.
 	Reachable(service string) bool
 }
@@ -29,6 +30,9 @@
 	Runner Runner
 	// Margin is what an answer takes on its way to the caller; a search is answered that much before its objective.
 	Margin time.Duration
+
+	// lag is how much later than planned this daemon acts.
+	lag lag.Tracker
 }
 
 // Search is one search, all of one version of the routes.
@@ -42,13 +46,6 @@
 	Until time.Time
 }
 
-// part is the outcome of one shard.
-type part struct {
-	shard   string
-	outcome forward.Outcome
-	trace   forward.Trace
-}
-
 // Run answers a search: with all parts, with enough of them once the objective would pass, or not at all
 // once too few can come.
 func (g *Gatherer) Run(ctx context.Context, s Search) (Outcome, Trace) {
@@ -58,20 +55,23 @@
 	if len(shards)-len(dark) < need {
 		return NotRun{Reason: forward.ReasonNoTarget, RetryAfter: retryWhenDark}, Trace{}
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	parts := make(chan part, len(shards))
-	var group errgroup.Group
-	for _, name := range shards {
-		job := forward.Job{Service: name, Route: s.Route, Request: s.Request, Until: s.Until}
-		group.Go(func() error {
-			o, t := g.Runner.Run(ctx, job)
-			parts <- part{shard: name, outcome: o, trace: t}
-			return nil
-		})
+	jobs := lo.Map(shards, func(name string, _ int) forward.Job {
+		return forward.Job{Service: name, Route: s.Route, Request: s.Request, Until: s.Until}
+	})
+	batch := g.Runner.Start(jobs)
+	defer batch.Release()
+	c := &collection{
+		search: s, need: need, left: len(shards), heap: topk.Heap{Limit: s.Scatter.Greatest},
+		ended: make([]forward.Ended, len(shards)),
+	}
+	cut := s.Begun.Add(s.Route.Objective - g.Margin - g.lag.Estimate())
+	out := c.collect(ctx, batch, cut)
+	if c.cutAt.After(cut) {
+		g.lag.Add(c.cutAt.Sub(cut))
+	}
+	if c.left > 0 {
+		batch.Abandon()
 	}
-	c := &collection{search: s, need: need, left: len(shards), heap: topk.Heap{Limit: s.Scatter.Greatest}}
-	out := c.collect(ctx, parts, s.Begun.Add(s.Route.Objective-g.Margin))
-	cancel()
 	return out, c.trace(shards)
 }
 
--- a/internal/targetpool/conn.go
+++ b/internal/targetpool/conn.go
@@ -40,10 +40,9 @@
 	}
 	var peek [1]byte
 	silent := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		_, _, e := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		silent = e == syscall.EAGAIN || e == syscall.EWOULDBLOCK
-		return true
 	})
 	return err == nil && silent
 }
--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -5,7 +5,7 @@
 // Defaults of an entry daemon's settings.
 const (
 	// DefaultCallerMargin is what an answer takes on its way to its caller.
-	DefaultCallerMargin = 8 * time.Millisecond
+	DefaultCallerMargin = 10 * time.Millisecond
 	// DefaultGrace is how long a daemon that was told to stop may still run.
 	DefaultGrace = 6 * time.Second
 	// DefaultDrainBound is how soon a target that leaves must get no more work.
