--- a/internal/entry/changes.go
+++ b/internal/entry/changes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
@@ -33,6 +34,15 @@
 	d.logTargets(before.Inventory, after.Inventory)
 }
 
+// coldRates returns the requests per second that cold targets bear, by service.
+func (d *Daemon) coldRates() map[string]float64 {
+	table := d.State().Orders.Table
+	if table == nil {
+		return nil
+	}
+	return lo.SliceToMap(table.Names(), func(name string) (string, float64) { return name, table.Service(name).ColdRate })
+}
+
 // logTargets writes a line for each target that was published, changed or withdrawn.
 func (d *Daemon) logTargets(before, after inventory.Inventory) {
 	if before.Revision == 0 {
--- a/internal/entry/housekeeper.go
+++ b/internal/entry/housekeeper.go
@@ -34,6 +34,7 @@
 	roster   *roster.Roster
 	detector suspension.Detector
 	members  int
+	begun    time.Time
 }
 
 // Run keeps house until ctx ends.
@@ -67,8 +68,9 @@
 func (h *housekeeper) shareOut(now time.Time) {
 	d := h.daemon
 	names := h.roster.Names(now)
-	h.gate.SetMembers(d.Settings().Name, names)
 	r := d.Settings().Rules
+	h.gate.SetMembers(d.Settings().Name, h.senders(now))
+	h.gate.SetRules(permission.Rules{Rates: d.coldRates(), Overshoot: r.ColdOvershoot, Slack: r.ColdSlack})
 	rule := retrybudget.Rule{Ratio: r.RetryRatio, Slack: r.RetrySlack, Window: r.RetryWindow.Std()}
 	h.budget.SetRule(rule, 1/float64(max(len(names), leastMembers)))
 	if len(names) != h.members {
@@ -77,6 +79,18 @@
 	}
 }
 
+// senders returns the daemons that share a cold target's allowance; none while this daemon has just started and
+// cannot know the others.
+func (h *housekeeper) senders(now time.Time) []string {
+	if h.begun.IsZero() {
+		h.begun = now
+	}
+	if now.Sub(h.begun) < roster.AliveFor {
+		return nil
+	}
+	return h.roster.Recent()
+}
+
 func (h *housekeeper) sweep(now time.Time) {
 	d := h.daemon
 	inv := d.State().Inventory
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -131,6 +131,17 @@
 	return names
 }
 
+// Recent returns the names of all daemons that were alive within the last minute, the daemon itself among them.
+func (r *Roster) Recent() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	names := []string{r.self.Name}
+	for name := range r.known {
+		names = append(names, name)
+	}
+	return names
+}
+
 // Sample returns up to n live members at random, which a datagram tells of.
 func (r *Roster) Sample(n int, now time.Time) []Member {
 	r.mu.Lock()
