--- a/internal/choice/book.go
+++ b/internal/choice/book.go
@@ -22,6 +22,9 @@
 	unreachableFor = 2500 * time.Millisecond
 	// failurePenalty is the share of a route's usual time, per recent failure, by which a target is taken to be later.
 	failurePenalty = 3
+	// hintPenalty is the share of a route's usual time by which a target is taken to be later that one peer, and no
+	// other, waits for: more than half of such calls are only long ones.
+	hintPenalty = 0.5
 	// spread is the random share by which expectations differ, so that daemons do not move in step.
 	spread = 0.15
 	// defaultSlots is taken for a target that does not state its slots.
@@ -131,7 +134,13 @@
 	e := service * (1 + r.queue(now)/float64(r.slots))
 	e += u * failurePenalty * r.failure(now)
 	e += float64(r.overdue(now))
-	for _, until := range []time.Time{r.fullUntil, r.downUntil, r.stalledUntil} {
+	switch n := r.stalled(now); {
+	case n > 1:
+		e += float64(hintValid)
+	case n == 1:
+		e += u * hintPenalty
+	}
+	for _, until := range []time.Time{r.fullUntil, r.downUntil} {
 		if wait := until.Sub(now); wait > 0 {
 			e += float64(wait)
 		}
@@ -151,11 +160,11 @@
 	return k
 }
 
-// Stalled notes that peers saw a target stall until about the given time.
-func (b *Book) Stalled(t inventory.Target, until time.Time) {
+// Stalled notes that a peer waits for a target that has stopped answering.
+func (b *Book) Stalled(t inventory.Target, peer string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.record(t).stalledUntil = until
+	b.record(t).addStall(peer, now)
 }
 
 // Keep forgets all targets but the known ones.
@@ -211,7 +220,7 @@
 		k.record.addFailure(now)
 		return
 	}
-	k.record.stalledUntil = time.Time{}
+	k.record.stalls = nil
 	took := now.Sub(k.begun)
 	u := k.book.usually(k.class)
 	k.record.addRatio(float64(took)/(float64(u.median)*(1+k.ahead)), now)
--- a/internal/choice/record.go
+++ b/internal/choice/record.go
@@ -17,6 +17,11 @@
 	failureMemory = 3 * time.Second
 	// samples is how many ratios the median slowness is taken of, so that one pause does not count as slowness.
 	samples = 3
+	// hintValid is how long a peer's hint counts, about a third of a target's pause of 200 ms; a peer whose call
+	// stays overdue tells again.
+	hintValid = 60 * time.Millisecond
+	// maxHints bounds the peers whose hints on one target are kept.
+	maxHints = 16
 	// maxSlowness bounds what one target is taken to be slower than usual.
 	maxSlowness = 20
 )
@@ -35,8 +40,8 @@
 	failedAt  time.Time
 	fullUntil time.Time
 	downUntil time.Time
-	// stalledUntil is set by what peers tell of a target.
-	stalledUntil time.Time
+	// stalls are the latest hints of peers that the target stopped answering, by peer.
+	stalls map[string]time.Time
 }
 
 func (r *record) addRatio(ratio float64, now time.Time) {
@@ -79,6 +84,24 @@
 	return longest
 }
 
+// stalled returns how many peers told within the last hintValid that the target stopped answering.
+func (r *record) stalled(now time.Time) int {
+	n := 0
+	for _, at := range r.stalls {
+		if now.Sub(at) < hintValid {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *record) addStall(peer string, now time.Time) {
+	if r.stalls == nil || len(r.stalls) >= maxHints {
+		r.stalls = map[string]time.Time{}
+	}
+	r.stalls[peer] = now
+}
+
 func (r *record) failure(now time.Time) float64 {
 	return r.failures * fade(now.Sub(r.failedAt), failureMemory)
 }
--- a/internal/choice/usual.go
+++ b/internal/choice/usual.go
@@ -6,7 +6,7 @@
 	// firstUsual is the part of a route's objective that its calls are taken to last before any has ended.
 	firstUsual = 0.2
 	// usualStep is how far one call moves the estimate, as a share of it.
-	usualStep = 0.05
+	usualStep = 0.003
 	// minUsual keeps the estimate above the clock's and the scheduler's grain.
 	minUsual = time.Millisecond
 )
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -83,6 +83,7 @@
 		Route: e.route, Scatter: s, Request: e.question.Request, Begun: e.question.Begun, Until: until,
 	})
 	e.search = &trace
+	e.usual = d.Forwarder.Usual(e.route)
 	switch x := out.(type) {
 	case scatter.Merged:
 		return d.end(e, Found{Records: x.Records, Signatures: x.Signatures, Missing: x.Missing})
--- a/internal/dispatch/ending.go
+++ b/internal/dispatch/ending.go
@@ -23,6 +23,8 @@
 	route    routetable.Route
 	search   *scatter.Trace
 	single   *forward.Trace
+	// usual is how long one target's answer usually takes on the route.
+	usual time.Duration
 }
 
 // fields returns the request's id, what decided, the age of it and the outcome.
@@ -44,7 +46,7 @@
 		out = append(out, zap.Any("sends", e.single.Sends))
 	}
 	if e.search != nil {
-		out = append(out, zap.Int("hedged", e.search.Hedged))
+		out = append(out, zap.Int("hedged", e.search.Hedged), zap.Float64("usualMs", float64(e.usual.Microseconds())/1000))
 		if len(e.search.Missing) > 0 {
 			out = append(out, zap.Any("missing", e.search.Missing))
 		}
--- a/internal/entry/changes.go
+++ b/internal/entry/changes.go
@@ -14,7 +14,6 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/permission"
 	"github.com/knapweedpoint/knapweedpoint/internal/published"
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
-	"github.com/knapweedpoint/knapweedpoint/internal/stallhint"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
 )
 
@@ -78,7 +77,7 @@
 	now := time.Now()
 	for _, x := range m.GetStalls() {
 		if t, ok := d.State().Inventory.Target(x.GetTarget()); ok {
-			d.forwarder.Book.Stalled(t, now.Add(stallhint.Valid))
+			d.forwarder.Book.Stalled(t, from.Name, now)
 		}
 	}
 }
--- a/internal/forward/batch.go
+++ b/internal/forward/batch.go
@@ -105,6 +105,16 @@
 	b.over = append(b.over, r.index)
 }
 
+// Pending returns the trace of a job that has not ended, with its sends under way.
+func (b *Batch) Pending(index int, now time.Time) Trace {
+	r := &b.runs[index]
+	t := r.trace
+	for _, fl := range r.flying {
+		t.Sends = append(t.Sends, Sent{Target: fl.target.ID, Ending: "underWay", Millis: sinceMillis(fl.begun, now)})
+	}
+	return t
+}
+
 // Abandon cancels what is under way because the caller left; what must not be repeated runs to its end.
 func (b *Batch) Abandon() {
 	for i := range b.runs {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -8,6 +8,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/permission"
 	"github.com/knapweedpoint/knapweedpoint/internal/retrybudget"
+	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
 	"github.com/knapweedpoint/knapweedpoint/internal/workers"
 )
@@ -44,6 +45,11 @@
 	}
 }
 
+// Usual returns how long one target's answer usually takes on a route.
+func (f *Forwarder) Usual(r routetable.Route) time.Duration {
+	return f.Book.Usual(Job{Route: r}.class())
+}
+
 // Reachable reports whether any target of the service may receive work now.
 func (f *Forwarder) Reachable(service string) bool {
 	now := time.Now()
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -278,10 +278,14 @@
 	r.trace.Sends = append(r.trace.Sends, Sent{
 		Target: e.flight.target.ID,
 		Ending: ending(e.result),
-		Millis: float64(now.Sub(e.flight.begun).Microseconds()) / 1000,
+		Millis: sinceMillis(e.flight.begun, now),
 	})
 }
 
+func sinceMillis(begun, now time.Time) float64 {
+	return float64(now.Sub(begun).Microseconds()) / 1000
+}
+
 func ending(result targetcall.Result) string {
 	switch x := result.(type) {
 	case targetcall.Answered:
--- a/internal/scatter/collection.go
+++ b/internal/scatter/collection.go
@@ -90,12 +90,14 @@
 }
 
 // trace returns what is worth a log line.
-func (c *collection) trace(shards []string) Trace {
+func (c *collection) trace(shards []string, batch *forward.Batch) Trace {
+	now := time.Now()
 	t := Trace{Odd: map[string]forward.Trace{}, Missing: map[string]string{}}
 	for i, s := range shards {
 		e := c.ended[i]
 		if e.Outcome == nil {
 			t.Missing[s] = "notYet"
+			t.Odd[s] = batch.Pending(i, now)
 			continue
 		}
 		t.Hedged += e.Trace.Hedged
--- a/internal/scatter/gatherer.go
+++ b/internal/scatter/gatherer.go
@@ -69,10 +69,11 @@
 	if c.cutAt.After(cut) {
 		g.lag.Add(c.cutAt.Sub(cut))
 	}
+	trace := c.trace(shards, batch)
 	if c.left > 0 {
 		batch.Abandon()
 	}
-	return out, c.trace(shards)
+	return out, trace
 }
 
 // Needed returns how many of n shards make up the least share.
--- a/internal/stallhint/teller.go
+++ b/internal/stallhint/teller.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// Valid is how long a hint counts: about a third of a target's pause of 200 ms; while the target stays
-	// silent its callers tell again.
-	Valid = 60 * time.Millisecond
 	// repeat is the least time between two hints of one daemon on one target.
 	repeat = 30 * time.Millisecond
 	// maxPerSecond bounds one daemon's hints, each of some 60 bytes to every peer.
