Tests of the path's core on virtual time; lapsed entries are dropped also while pushes keep arriving

Cause: lapsed entries were only dropped when the daemon's own reading was due, which pushes put off for ever. TestLapsedEntriesAreKeptForTheirReturn failed on daemon 2 before the change.

--- /dev/null
+++ b/internal/choice/book_test.go
@@ -0,0 +1,161 @@
+package choice_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/choice"
+	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
+)
+
+var (
+	class = choice.Class{Name: "r", Objective: 100 * time.Millisecond}
+	a     = inventory.Target{ID: "a", Service: "s", Slots: 2}
+	b     = inventory.Target{ID: "b", Service: "s", Slots: 2}
+)
+
+// answer lets a target answer a call after a while.
+func answer(k *choice.Book, t inventory.Target, after time.Duration, load targetcall.Load) {
+	ticket := k.Begin(class, t, time.Now())
+	time.Sleep(after)
+	ticket.End(targetcall.Answered{Status: 200, Signature: "x", Load: load}, false, time.Now())
+}
+
+// shareOfA returns how often, of 200 times, a is chosen before b.
+func shareOfA(k *choice.Book) float64 {
+	n := 0
+	for range 200 {
+		c, ok := k.Pick(class, []inventory.Target{a, b}, time.Now())
+		if ok && c.Target.ID == "a" {
+			n++
+		}
+	}
+	return float64(n) / 200
+}
+
+func TestPickByWhatIsKnown(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		learn func(k *choice.Book)
+		most  float64
+	}{
+		{"a was slow several times", func(k *choice.Book) {
+			for range 4 {
+				answer(k, a, 200*time.Millisecond, targetcall.Load{})
+				answer(k, b, 20*time.Millisecond, targetcall.Load{})
+			}
+		}, 0},
+		{"a has an overdue call", func(k *choice.Book) {
+			k.Begin(class, a, time.Now())
+			time.Sleep(60 * time.Millisecond)
+		}, 0},
+		{"a has four calls under way", func(k *choice.Book) {
+			for range 4 {
+				k.Begin(class, a, time.Now())
+			}
+		}, 0},
+		{"a says that its queue is long", func(k *choice.Book) {
+			answer(k, a, 20*time.Millisecond, targetcall.Load{Known: true, Running: 2, Waiting: 6, Slots: 2})
+			answer(k, b, time.Millisecond, targetcall.Load{Known: true, Running: 1, Slots: 2})
+		}, 0},
+		{"a refused a call just now", func(k *choice.Book) {
+			k.Begin(class, a, time.Now()).End(targetcall.Refused{}, false, time.Now())
+		}, 0},
+		{"a failed just now", func(k *choice.Book) {
+			k.Begin(class, a, time.Now()).End(targetcall.Answered{Status: 500, Signature: "x"}, false, time.Now())
+		}, 0},
+		{"two peers wait for a", func(k *choice.Book) {
+			k.Stalled(a, "vm1", time.Now())
+			k.Stalled(a, "vm2", time.Now())
+		}, 0},
+		{"one pause of a is no slowness", func(k *choice.Book) {
+			for range 3 {
+				answer(k, a, 20*time.Millisecond, targetcall.Load{})
+				answer(k, b, 20*time.Millisecond, targetcall.Load{})
+			}
+			answer(k, a, 200*time.Millisecond, targetcall.Load{})
+		}, 0.7},
+		{"all that was long ago", func(k *choice.Book) {
+			k.Stalled(a, "vm1", time.Now())
+			k.Stalled(a, "vm2", time.Now())
+			k.Begin(class, a, time.Now()).End(targetcall.Unknown{}, false, time.Now())
+			answer(k, a, 200*time.Millisecond, targetcall.Load{Known: true, Waiting: 9, Slots: 2})
+			time.Sleep(time.Minute)
+		}, 0.7},
+		{"nothing", func(*choice.Book) {}, 0.7},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := &choice.Book{}
+				c.learn(k)
+				got := shareOfA(k)
+				require.LessOrEqual(t, got, c.most)
+				if c.most > 0 {
+					require.Greater(t, got, 1-c.most)
+				}
+			})
+		})
+	}
+}
+
+// The pattern: searches bring many samples that are alike, now of a calm moment and now of a burst.
+func TestUsualTimeKeepsItsPlaceUnderBursts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := &choice.Book{}
+		for i := range 400 {
+			took := 20 * time.Millisecond
+			if i%4 == 0 {
+				took = 90 * time.Millisecond
+			}
+			for range 30 {
+				begun := time.Now()
+				k.Begin(class, a, begun).End(targetcall.Answered{Status: 200, Signature: "x"}, false, begun.Add(took))
+			}
+			if i > 100 {
+				require.InDelta(t, 20, k.Usual(class).Seconds()*1000, 5, "search %d", i)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+}
+
+func TestDownTargetsAreSetApartForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := &choice.Book{}
+		both := []inventory.Target{a, b}
+		require.Equal(t, both, k.Up(both, time.Now()))
+		k.Begin(class, a, time.Now()).End(targetcall.NotSent{Down: true}, false, time.Now())
+		require.True(t, k.Down("a", time.Now()))
+		require.Equal(t, []inventory.Target{b}, k.Up(both, time.Now()))
+		time.Sleep(3 * time.Second)
+		require.False(t, k.Down("a", time.Now()))
+	})
+}
+
+func TestCancelledCallsTeachNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := &choice.Book{}
+		before := k.Usual(class)
+		ticket := k.Begin(class, a, time.Now())
+		time.Sleep(time.Second)
+		ticket.End(targetcall.Unknown{}, true, time.Now())
+		require.Equal(t, before, k.Usual(class))
+		require.InDelta(t, 0.5, shareOfA(k), 0.2)
+	})
+}
+
+func TestKeepForgetsTargetsThatAreGone(t *testing.T) {
+	k := &choice.Book{}
+	k.Begin(class, a, time.Now()).End(targetcall.NotSent{Down: true}, false, time.Now())
+	k.Keep(func(string) bool { return false })
+	require.False(t, k.Down("a", time.Now()))
+}
+
+func TestPickOfNoneIsNone(t *testing.T) {
+	_, ok := (&choice.Book{}).Pick(class, nil, time.Now())
+	require.False(t, ok)
+}
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,189 @@
+package forward_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/choice"
+	"github.com/knapweedpoint/knapweedpoint/internal/forward"
+	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/permission"
+	"github.com/knapweedpoint/knapweedpoint/internal/retrybudget"
+	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
+	"github.com/knapweedpoint/knapweedpoint/internal/testtarget"
+	"github.com/knapweedpoint/knapweedpoint/internal/workers"
+)
+
+type fixture struct {
+	forwarder *forward.Forwarder
+	sender    *testtarget.Sender
+	inventory inventory.Inventory
+	pool      *workers.Pool
+}
+
+func newFixture(behave func(target string, n int) testtarget.Behaviour, targets ...string) *fixture {
+	x := &fixture{sender: &testtarget.Sender{Behave: behave}, pool: &workers.Pool{}}
+	x.inventory = inventory.New(1, lo.Map(targets, func(id string, _ int) inventory.Target {
+		return inventory.Target{ID: id, Service: "s", AvailabilityZone: "zone-" + id, Slots: 2}
+	}))
+	budget := &retrybudget.Budget{}
+	budget.SetRule(retrybudget.Rule{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}, 1)
+	x.forwarder = &forward.Forwarder{
+		Sender: x.sender, Book: &choice.Book{}, Gate: &permission.Gate{}, Budget: budget,
+		Inventory: func() inventory.Inventory { return x.inventory }, Workers: x.pool,
+	}
+	return x
+}
+
+// close lets sends that lost go on to their end.
+func (x *fixture) close() {
+	time.Sleep(time.Second)
+	x.pool.Close()
+}
+
+func job(repeatable bool) forward.Job {
+	return forward.Job{
+		Service: "s",
+		Route:   routetable.Route{Host: "h", Prefix: "/p/", Repeatable: repeatable, Attempts: 2, Objective: 100 * time.Millisecond},
+		Request: targetcall.Request{ID: "r1", Method: "GET", Path: "/p/1"},
+		Until:   time.Now().Add(time.Second),
+	}
+}
+
+// always returns a behaviour for every call of every target.
+func always(b testtarget.Behaviour) func(string, int) testtarget.Behaviour {
+	return func(string, int) testtarget.Behaviour { return b }
+}
+
+// first returns a behaviour for the first call of all, and success for the others.
+func first(b testtarget.Behaviour) func(string, int) testtarget.Behaviour {
+	done := false
+	return func(string, int) testtarget.Behaviour {
+		if done {
+			return testtarget.Behaviour{After: 5 * time.Millisecond}
+		}
+		done = true
+		return b
+	}
+}
+
+func TestRunByWhatTheTargetsDo(t *testing.T) {
+	refused := testtarget.Behaviour{After: time.Millisecond, Result: targetcall.Refused{}}
+	broken := testtarget.Behaviour{After: time.Millisecond, Result: targetcall.Unknown{Err: testtarget.ErrReset}}
+	unreachable := testtarget.Behaviour{Result: targetcall.NotSent{Err: testtarget.ErrReset, Down: true}}
+	failed := testtarget.Behaviour{After: time.Millisecond, Result: testtarget.Failure("t")}
+	rejected := testtarget.Behaviour{After: time.Millisecond, Result: targetcall.Answered{Status: 400, Signature: "x"}}
+	hangs := testtarget.Behaviour{After: time.Hour}
+	for _, c := range []struct {
+		name       string
+		behave     func(string, int) testtarget.Behaviour
+		repeatable bool
+		want       string
+		sends      int
+	}{
+		{"success", always(testtarget.Behaviour{After: 5 * time.Millisecond}), false, "done", 1},
+		{"refused once", first(refused), false, "done", 2},
+		{"unreachable once", first(unreachable), false, "done", 2},
+		{"refused everywhere", always(refused), true, "notRun", 6},
+		{"unreachable everywhere", always(unreachable), true, "notRun", 6},
+		{"broken, repeatable", first(broken), true, "done", 2},
+		{"broken, not repeatable", first(broken), false, "lost", 1},
+		{"broken everywhere", always(broken), true, "lost", 2},
+		{"failed, repeatable", first(failed), true, "done", 2},
+		{"failed, not repeatable", first(failed), false, "failed", 1},
+		{"failed everywhere", always(failed), true, "failed", 2},
+		{"the target rejects the request", first(rejected), true, "done", 1},
+		{"hangs once, repeatable", first(hangs), true, "done", 2},
+		{"hangs once, not repeatable", first(hangs), false, "lost", 1},
+		{"hangs everywhere", always(hangs), true, "lost", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newFixture(c.behave, "a", "b", "c")
+				begun := time.Now()
+				out, _ := x.forwarder.Run(context.Background(), job(c.repeatable))
+				require.Equal(t, c.want, out.Word())
+				require.LessOrEqual(t, time.Since(begun), time.Second, "answered when time is up")
+				require.Len(t, x.sender.Calls(), c.sends)
+				x.close()
+			})
+		})
+	}
+}
+
+func TestNothingIsSentWhereNoTargetIsOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newFixture(nil, "a")
+		x.forwarder.Gate.SetZonesOut([]string{"zone-a"}, time.Time{})
+		begun := time.Now()
+		out, _ := x.forwarder.Run(context.Background(), job(true))
+		require.Equal(t, forward.ReasonNoTarget, out.(forward.NotRun).Reason)
+		require.Positive(t, out.(forward.NotRun).RetryAfter)
+		require.Equal(t, begun, time.Now(), "rejected at once")
+		require.Empty(t, x.sender.Calls())
+		require.False(t, x.forwarder.Reachable("s"))
+		x.close()
+	})
+}
+
+// The pattern: a target pauses for 200 ms while others answer in 10.
+func TestPausedTargetIsCoveredByASecondSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newFixture(first(testtarget.Behaviour{After: 200 * time.Millisecond}), "a", "b")
+		begun := time.Now()
+		out, trace := x.forwarder.Run(context.Background(), job(true))
+		require.Equal(t, "done", out.Word())
+		require.Equal(t, 1, trace.Hedged)
+		require.Less(t, time.Since(begun), 80*time.Millisecond)
+		x.close()
+	})
+}
+
+func TestSecondSendsStopWithTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newFixture(always(testtarget.Behaviour{After: 200 * time.Millisecond}), "a", "b")
+		x.forwarder.Budget.SetRule(retrybudget.Rule{Window: 10 * time.Second}, 1)
+		out, trace := x.forwarder.Run(context.Background(), job(true))
+		require.Equal(t, "done", out.Word())
+		require.Zero(t, trace.Hedged)
+		require.Len(t, x.sender.Calls(), 1)
+		x.close()
+	})
+}
+
+func TestCallerThatLeavesCancelsWhatMayBeRepeated(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		repeatable bool
+	}{{"repeatable", true}, {"not repeatable", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newFixture(always(testtarget.Behaviour{After: 30 * time.Millisecond}), "a")
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+				defer cancel()
+				out, _ := x.forwarder.Run(ctx, job(c.repeatable))
+				require.Equal(t, forward.ReasonCaller, out.(forward.Lost).Reason)
+				x.close()
+				require.Equal(t, c.repeatable, x.sender.Calls()[0].Cancelled)
+			})
+		})
+	}
+}
+
+func TestTargetsGetTheTimeThatIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newFixture(always(testtarget.Behaviour{After: time.Hour}), "a", "b")
+		x.forwarder.Run(context.Background(), job(true))
+		calls := x.sender.Calls()
+		require.Len(t, calls, 2)
+		require.Equal(t, time.Second, calls[0].Left)
+		require.Equal(t, time.Second-calls[1].At.Sub(calls[0].At), calls[1].Left)
+		x.close()
+	})
+}
--- /dev/null
+++ b/internal/lag/tracker_test.go
@@ -0,0 +1,33 @@
+package lag_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/lag"
+)
+
+func TestEstimateCoversMostDelays(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	var l lag.Tracker
+	require.Zero(t, l.Estimate())
+	for range 2000 {
+		l.Add(time.Duration(r.IntN(10_000)) * time.Microsecond)
+	}
+	require.InDelta(t, 9, l.Estimate().Seconds()*1000, 1.5)
+}
+
+func TestEstimateIsBounded(t *testing.T) {
+	var l lag.Tracker
+	for range 2000 {
+		l.Add(time.Second)
+	}
+	require.Equal(t, 15*time.Millisecond, l.Estimate())
+	for range 10000 {
+		l.Add(0)
+	}
+	require.Zero(t, l.Estimate())
+}
--- /dev/null
+++ b/internal/stallhint/teller_test.go
@@ -0,0 +1,30 @@
+package stallhint_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
+	"github.com/knapweedpoint/knapweedpoint/internal/stallhint"
+)
+
+func TestHintsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		told := 0
+		h := stallhint.Teller{Tell: func(*gossippb.Datagram) { told++ }}
+		h.Overdue("a", time.Now())
+		h.Overdue("a", time.Now())
+		require.Equal(t, 1, told, "the same target again at once")
+		time.Sleep(40 * time.Millisecond)
+		h.Overdue("a", time.Now())
+		require.Equal(t, 2, told, "the same target a while later")
+		for i := range 1000 {
+			h.Overdue(fmt.Sprint(i), time.Now())
+		}
+		require.Equal(t, 40, told, "one second")
+	})
+}
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -119,10 +119,10 @@
 func (s *Syncer) Run(ctx context.Context) {
 	s.join(ctx)
 	for ctx.Err() == nil {
+		s.dropLapsed()
 		timer := time.NewTimer(s.due(time.Now()))
 		select {
 		case <-timer.C:
-			s.dropLapsed()
 			if s.due(time.Now()) <= 0 {
 				s.read(ctx)
 			}
--- /dev/null
+++ b/internal/storesync/syncer_test.go
@@ -0,0 +1,409 @@
+package storesync_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
+	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
+	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/orders"
+	"github.com/knapweedpoint/knapweedpoint/internal/published"
+	"github.com/knapweedpoint/knapweedpoint/internal/roster"
+	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
+	"github.com/knapweedpoint/knapweedpoint/internal/storesync"
+)
+
+const (
+	drainBound  = 3 * time.Second
+	callTime    = 4 * time.Millisecond
+	peerTime    = 2 * time.Millisecond
+	heartbeat   = 1200 * time.Millisecond
+	daemonCount = 13
+)
+
+var errDown = errors.New("store is down")
+
+// store is a published state that counts the calls it gets.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	targets  map[string]inventory.Target
+	version  uint64
+	zonesOut []string
+	events   []inventory.Changed
+	// oldest is the revision up to which the history is forgotten.
+	oldest uint64
+	// down names the daemons that get no answer, "" all of them.
+	down  map[string]bool
+	calls int
+}
+
+func newStore() *store {
+	s := &store{targets: map[string]inventory.Target{}, down: map[string]bool{}, revision: 10, version: 1}
+	for i := range 40 {
+		s.put(inventory.Target{ID: fmt.Sprint("t", i), Service: fmt.Sprint("s", i/2), Slots: 2})
+	}
+	return s
+}
+
+func (s *store) put(t inventory.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	t.Revision = s.revision
+	s.targets[t.ID] = t
+	s.events = append(s.events, inventory.Put{Target: t})
+}
+
+func (s *store) remove(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.targets, id)
+	s.events = append(s.events, inventory.Gone{ID: id, Revision: s.revision})
+}
+
+func (s *store) order(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	f()
+}
+
+func (s *store) setDown(daemon string, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down[daemon] = down
+}
+
+func (s *store) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// heartbeats renews every entry again and again.
+func (s *store) heartbeats(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		ts := lo.Values(s.targets)
+		s.mu.Unlock()
+		for _, t := range ts {
+			s.mu.Lock()
+			_, live := s.targets[t.ID]
+			s.mu.Unlock()
+			if live {
+				s.put(t)
+			}
+		}
+		time.Sleep(heartbeat)
+	}
+}
+
+// reader is the store as one daemon reaches it.
+type reader struct {
+	store  *store
+	daemon string
+}
+
+func (r reader) call(ctx context.Context) error {
+	r.store.mu.Lock()
+	r.store.calls++
+	down := r.store.down[""] || r.store.down[r.daemon]
+	r.store.mu.Unlock()
+	if down {
+		<-ctx.Done()
+		return errDown
+	}
+	time.Sleep(callTime)
+	return nil
+}
+
+func (r reader) orders() orders.Orders {
+	table := routetable.New(r.store.version, nil, nil, routetable.Limits{})
+	return orders.Orders{Table: table, Document: []byte(fmt.Sprint(r.store.version)), ZonesOut: r.store.zonesOut}
+}
+
+func (r reader) Read(ctx context.Context) (storesync.Full, error) {
+	if err := r.call(ctx); err != nil {
+		return storesync.Full{}, err
+	}
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	return storesync.Full{Revision: r.store.revision, Targets: lo.Values(r.store.targets), Orders: r.orders()}, nil
+}
+
+func (r reader) Changes(ctx context.Context, after uint64) (storesync.Delta, error) {
+	if err := r.call(ctx); err != nil {
+		return storesync.Delta{}, err
+	}
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	if after < r.store.oldest {
+		return storesync.Delta{}, storesync.ErrForgotten.New("forgotten")
+	}
+	d := storesync.Delta{Revision: r.store.revision}
+	d.Targets = lo.Filter(r.store.events, func(c inventory.Changed, _ int) bool { return c.At() > after })
+	o := r.orders()
+	d.Orders = []orders.Change{orders.Configuration{Table: o.Table, Document: o.Document}}
+	for _, z := range []string{"a", "b"} {
+		if lo.Contains(o.ZonesOut, z) {
+			d.Orders = append(d.Orders, orders.ZoneOut{Name: z})
+		} else {
+			d.Orders = append(d.Orders, orders.ZoneBack{Name: z})
+		}
+	}
+	return d, nil
+}
+
+func (r reader) Configuration(document []byte) (*routetable.Table, error) {
+	var v uint64
+	_, err := fmt.Sscan(string(document), &v)
+	return routetable.New(v, nil, nil, routetable.Limits{}), err
+}
+
+// fleet is some daemons over one store; peers exchange messages unless one of them is cut off.
+type fleet struct {
+	store   *store
+	syncers []*storesync.Syncer
+	cells   []*blackboard.Cell[published.State]
+	mu      sync.Mutex
+	cut     map[int]bool
+	group   errgroup.Group
+	cancel  []context.CancelFunc
+	end     context.CancelFunc
+}
+
+type link struct {
+	fleet *fleet
+	self  int
+}
+
+func (f *fleet) isCut(i int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut[i]
+}
+
+func (f *fleet) setCut(i int, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[i] = cut
+}
+
+func (l link) Push(p *gossippb.Push) {
+	for i, s := range l.fleet.syncers {
+		if i == l.self || l.fleet.isCut(i) || l.fleet.isCut(l.self) {
+			continue
+		}
+		l.fleet.group.Go(func() error {
+			time.Sleep(peerTime)
+			s.Take(roster.Member{Name: fmt.Sprint(l.self)}, p)
+			return nil
+		})
+	}
+}
+
+func (l link) Fetch(_ context.Context, from roster.Member, version uint64) (*gossippb.Copy, error) {
+	var n int
+	lo.Must(fmt.Sscan(from.Name, &n))
+	if l.fleet.isCut(n) || l.fleet.isCut(l.self) {
+		return nil, errDown
+	}
+	time.Sleep(peerTime)
+	return l.fleet.syncers[n].Copy(version), nil
+}
+
+func (l link) Live() []roster.Member {
+	var out []roster.Member
+	for i := range l.fleet.syncers {
+		if i != l.self && !l.fleet.isCut(i) && !l.fleet.isCut(l.self) {
+			out = append(out, roster.Member{Name: fmt.Sprint(i)})
+		}
+	}
+	return out
+}
+
+// Rank is the daemon's own number: daemon 0 reads for all.
+func (l link) Rank() int { return l.self }
+
+func startFleet(s *store) *fleet {
+	ctx, end := context.WithCancel(context.Background())
+	f := &fleet{store: s, cut: map[int]bool{}, end: end}
+	for i := range daemonCount {
+		cell := &blackboard.Cell[published.State]{}
+		f.cells = append(f.cells, cell)
+		f.syncers = append(f.syncers, storesync.New(storesync.Options{
+			Source: reader{store: s, daemon: fmt.Sprint(i)}, Peers: link{fleet: f, self: i}, Cell: cell,
+			Bound: func() time.Duration { return drainBound }, FirstStart: true,
+		}))
+	}
+	for _, y := range f.syncers {
+		own, cancel := context.WithCancel(ctx)
+		f.cancel = append(f.cancel, cancel)
+		f.group.Go(func() error { y.Run(own); return nil })
+	}
+	f.group.Go(func() error { s.heartbeats(ctx); return nil })
+	time.Sleep(5 * time.Second)
+	return f
+}
+
+func (f *fleet) close() {
+	f.end()
+	_ = f.group.Wait()
+}
+
+// within checks that every listed daemon meets a condition within a span.
+func (f *fleet) within(t *testing.T, span time.Duration, daemons []int, holds func(s published.State) bool) {
+	t.Helper()
+	begun := time.Now()
+	for _, i := range daemons {
+		for !holds(f.syncers[i].State()) {
+			require.Less(t, time.Since(begun), span, "daemon %d", i)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+func everyone(but ...int) []int {
+	return lo.Without(lo.Range(daemonCount), but...)
+}
+
+func drained(id string) func(published.State) bool {
+	return func(s published.State) bool {
+		t, ok := s.Inventory.Target(id)
+		return !ok || t.Draining
+	}
+}
+
+// Each row harms the daemon that reads for all, and then publishes a drain, a zone out and a configuration:
+// every other daemon has to know within the drain bound.
+func TestBoundsHoldWhateverHappensToTheReader(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		harm func(f *fleet)
+		but  []int
+	}{
+		{"nothing", func(*fleet) {}, nil},
+		{"dies", func(f *fleet) { f.setCut(0, true); f.cancel[0]() }, []int{0}},
+		{"cut off from peers", func(f *fleet) { f.setCut(0, true) }, nil},
+		{"cut off from the store", func(f *fleet) { f.store.setDown("0", true) }, nil},
+		{"cut off from both", func(f *fleet) { f.store.setDown("0", true); f.setCut(0, true) }, []int{0}},
+		{"first three cut off from the store", func(f *fleet) {
+			for _, d := range []string{"0", "1", "2"} {
+				f.store.setDown(d, true)
+			}
+		}, nil},
+		{"nobody hears a peer", func(f *fleet) {
+			for i := range daemonCount {
+				f.setCut(i, true)
+			}
+		}, nil},
+		{"history forgotten", func(f *fleet) { f.store.mu.Lock(); f.store.oldest = f.store.revision + 1; f.store.mu.Unlock() }, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(newStore())
+				defer f.close()
+				c.harm(f)
+				f.store.put(inventory.Target{ID: "t0", Service: "s0", Slots: 2, Draining: true})
+				f.store.remove("t2")
+				f.store.order(func() { f.store.version = 2; f.store.zonesOut = []string{"b"} })
+				f.within(t, drainBound, everyone(c.but...), drained("t0"))
+				f.within(t, drainBound, everyone(c.but...), drained("t2"))
+				f.within(t, drainBound, everyone(c.but...), func(s published.State) bool {
+					return s.Orders.Version() == 2 && lo.Contains(s.Orders.ZonesOut, "b")
+				})
+			})
+		})
+	}
+}
+
+func TestOneDaemonReadsForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(newStore())
+		defer f.close()
+		before := f.store.callCount()
+		time.Sleep(40 * time.Second)
+		perDaemon := float64(f.store.callCount()-before) / 40 / daemonCount
+		require.LessOrEqual(t, perDaemon, 0.12, "calls a second and daemon")
+	})
+}
+
+func TestStaleCopyNeverReplacesANewerOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(newStore())
+		defer f.close()
+		old := f.syncers[5].Copy(0)
+		f.store.put(inventory.Target{ID: "t0", Service: "s0", Slots: 2, Draining: true})
+		f.store.order(func() { f.store.version = 9 })
+		f.within(t, drainBound, everyone(), drained("t0"))
+		f.within(t, drainBound, everyone(), func(s published.State) bool { return s.Orders.Version() == 9 })
+		f.syncers[3].Take(roster.Member{Name: "5"}, &gossippb.Push{From: 1, To: old.GetRevision(), Version: 1, Puts: old.GetTargets()})
+		state := f.syncers[3].State()
+		require.True(t, drained("t0")(state))
+		require.Equal(t, uint64(9), state.Orders.Version())
+	})
+}
+
+// Entries that expired while the store was away are not taken for gone before their targets could renew them.
+func TestLapsedEntriesAreKeptForTheirReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(newStore())
+		defer f.close()
+		f.store.setDown("", true)
+		time.Sleep(5 * time.Second)
+		f.store.remove("t0")
+		f.store.remove("t2")
+		f.store.setDown("", false)
+		has := func(id string) func(published.State) bool {
+			return func(s published.State) bool { _, ok := s.Inventory.Target(id); return ok }
+		}
+		time.Sleep(500 * time.Millisecond)
+		f.store.put(inventory.Target{ID: "t2", Service: "s1", Slots: 2})
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			for _, y := range f.syncers {
+				require.True(t, has("t2")(y.State()), "back in time, and never missed")
+			}
+		}
+		f.within(t, 6*time.Second, everyone(), func(s published.State) bool { return !has("t0")(s) })
+		f.within(t, time.Millisecond, everyone(), has("t2"))
+	})
+}
+
+func TestDaemonServesOnWithWhatItHasWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(newStore())
+		defer f.close()
+		f.store.setDown("", true)
+		calls := f.store.callCount()
+		time.Sleep(time.Minute)
+		for _, y := range f.syncers {
+			require.True(t, y.State().Configured())
+			require.Equal(t, 40, y.State().Inventory.Len())
+		}
+		perDaemon := float64(f.store.callCount()-calls) / 60 / daemonCount
+		require.Less(t, perDaemon, 1.0, "calls a second and daemon while the store is away")
+	})
+}
+
+func TestDoubtReadsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(newStore())
+		defer f.close()
+		f.store.put(inventory.Target{ID: "t0", Service: "s0", Slots: 2, Draining: true})
+		f.syncers[12].Doubt()
+		f.within(t, 50*time.Millisecond, []int{12}, drained("t0"))
+	})
+}
--- /dev/null
+++ b/internal/suspension/detector_test.go
@@ -0,0 +1,31 @@
+package suspension_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/suspension"
+)
+
+func TestLostIsTheTimeThatTheSteadyClockMissed(t *testing.T) {
+	boot := time.Hour
+	now := time.Now()
+	d := suspension.Detector{Boot: func() (time.Duration, error) { return boot, nil }}
+	require.Zero(t, d.Lost(now), "the first call compares with nothing")
+	boot += time.Second
+	require.Zero(t, d.Lost(now.Add(time.Second)), "both clocks ran")
+	boot += 5 * time.Second
+	require.Equal(t, 4*time.Second, d.Lost(now.Add(2*time.Second)))
+	boot += 100 * time.Millisecond
+	require.Zero(t, d.Lost(now.Add(2*time.Second)), "less than a scheduling delay")
+}
+
+func TestLostIsZeroWithoutAClock(t *testing.T) {
+	d := suspension.Detector{Boot: func() (time.Duration, error) { return 0, errors.New("no clock") }}
+	require.Zero(t, d.Lost(time.Now()))
+	require.Zero(t, d.Lost(time.Now().Add(time.Hour)))
+	require.Zero(t, (&suspension.Detector{}).Lost(time.Now()))
+}
--- /dev/null
+++ b/internal/workers/pool_test.go
@@ -0,0 +1,36 @@
+package workers_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/workers"
+)
+
+func TestPoolRunsEveryJobWhileOthersBlock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var p workers.Pool
+		var done atomic.Int64
+		var group sync.WaitGroup
+		hold := make(chan struct{})
+		group.Add(3 * workers.DefaultIdle)
+		for range 3 * workers.DefaultIdle {
+			p.Go(func() {
+				done.Add(1)
+				group.Done()
+				<-hold
+			})
+		}
+		group.Wait()
+		require.Equal(t, int64(3*workers.DefaultIdle), done.Load())
+		close(hold)
+		synctest.Wait()
+		p.Go(func() { done.Add(1) })
+		p.Close()
+		require.Equal(t, int64(3*workers.DefaultIdle+1), done.Load())
+	})
+}
