--- a/internal/choice/book.go
+++ b/internal/choice/book.go
@@ -25,6 +25,9 @@
 	// hintPenalty is the share of a route's usual time by which a target is taken to be later that one peer, and no
 	// other, waits for: more than half of such calls are only long ones.
 	hintPenalty = 0.5
+	// remotePenalty is the share of a route's usual time by which a target in another availability zone is taken to be
+	// later: two hops of 1 to 1.4 ms of some 10, and bytes between zones are dear.
+	remotePenalty = 0.3
 	// spread is the random share by which expectations differ, so that daemons do not move in step.
 	spread = 0.15
 	// defaultSlots is taken for a target that does not state its slots.
@@ -39,6 +42,9 @@
 
 // Book records how targets answer; its zero value knows nothing and is ready to use.
 type Book struct {
+	// AvailabilityZone is the daemon's own; targets elsewhere count as a little later.
+	AvailabilityZone string
+
 	mu      sync.Mutex
 	records map[string]*record
 	usual   map[string]*usual
@@ -140,6 +146,9 @@
 	case n == 1:
 		e += u * hintPenalty
 	}
+	if t.AvailabilityZone != b.AvailabilityZone {
+		e += u * remotePenalty
+	}
 	for _, until := range []time.Time{r.fullUntil, r.downUntil} {
 		if wait := until.Sub(now); wait > 0 {
 			e += float64(wait)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -19,6 +19,10 @@
 const (
 	// retryUnconfigured is told to callers before the first configuration, which a daemon has within a second.
 	retryUnconfigured = 500 * time.Millisecond
+	// firstConfiguration is how long a request may wait for a daemon's first read, which takes some 20 ms.
+	firstConfiguration = 250 * time.Millisecond
+	// configurationPoll is how often a waiting request looks for it.
+	configurationPoll = 5 * time.Millisecond
 	// defaultTimeout is for routes without a timeout, under callers without a deadline.
 	defaultTimeout = 30 * time.Second
 )
@@ -43,7 +47,7 @@
 
 // Answer answers one request; it returns at the latest when the caller or the route stops waiting, or ctx ends.
 func (d *Dispatcher) Answer(ctx context.Context, q Question) Answer {
-	state := d.State()
+	state := d.configured(ctx, q)
 	e := ending{question: q, state: state}
 	if !state.Configured() {
 		return d.end(e, NotRun{Reason: ReasonUnconfigured, RetryAfter: retryUnconfigured})
@@ -66,6 +70,20 @@
 	}
 }
 
+// configured returns the published state; a daemon that has just started waits a moment for its first configuration.
+func (d *Dispatcher) configured(ctx context.Context, q Question) published.State {
+	wait := firstConfiguration
+	if q.Deadline > 0 {
+		wait = min(wait, q.Deadline/4)
+	}
+	state := d.State()
+	for !state.Configured() && time.Since(q.Begun) < wait && ctx.Err() == nil {
+		time.Sleep(configurationPoll)
+		state = d.State()
+	}
+	return state
+}
+
 // until returns when the request must be answered: early enough for the answer to reach a caller that is about to leave.
 func (d *Dispatcher) until(q Question, r routetable.Route) time.Time {
 	wait := r.Timeout
--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -32,7 +32,7 @@
 // assemble registers every part of the daemon; each is made when it is first asked for.
 func (d *Daemon) assemble() do.Injector {
 	i := do.New()
-	do.ProvideValue(i, &choice.Book{})
+	do.ProvideValue(i, &choice.Book{AvailabilityZone: d.Settings().AvailabilityZone})
 	do.ProvideValue(i, &permission.Gate{})
 	do.ProvideValue(i, &retrybudget.Budget{})
 	do.ProvideValue(i, &split.Picker{})
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -33,9 +33,6 @@
 	return peercopy.Fetch(ctx, p.http, from.Copies, version)
 }
 
-// Live returns the live peers.
-func (p peers) Live() []roster.Member { return p.roster.Peers(time.Now()) }
-
 // Rank returns the daemon's place among the live daemons; one that is leaving is the last.
 func (p peers) Rank() int {
 	names := p.roster.Names(time.Now())
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -65,7 +65,7 @@
 	self := g.Roster.Beat()
 	d := &gossippb.Datagram{
 		Self:    encodeMember(self),
-		Members: lo.Map(g.Roster.Sample(sampleSize, now), func(m roster.Member, _ int) *gossippb.Member { return encodeMember(m) }),
+		Members: lo.Map(g.Roster.Latest(sampleSize, now), func(m roster.Member, _ int) *gossippb.Member { return encodeMember(m) }),
 	}
 	for _, p := range g.Roster.Sample(fanOut, now) {
 		g.send(p.Address, d)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -6,11 +6,16 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 const (
-	// AliveFor is how long a member counts after its beat last grew: six rounds of gossip.
+	// AliveFor is how long a member counts at least after its beat last grew: six rounds of gossip.
 	AliveFor = 2500 * time.Millisecond
+	// freshMembers is the number of members whose beats arrive anew within AliveFor; among more of them each counts
+	// longer in proportion, since a datagram tells of a bounded number.
+	freshMembers = 48
 	// forgetAfter is how long a silent member is kept, so that old beats of it are not taken for news.
 	forgetAfter = time.Minute
 	// maxMembers bounds the memory of a roster; the goal is 450 daemons.
@@ -110,7 +115,7 @@
 	defer r.mu.Unlock()
 	var out []Member
 	for _, s := range r.known {
-		if now.Sub(s.at) <= AliveFor && !s.member.Leaving {
+		if now.Sub(s.at) <= r.aliveFor() && !s.member.Leaving {
 			out = append(out, s.member)
 		}
 	}
@@ -142,16 +147,33 @@
 	return names
 }
 
-// Sample returns up to n live members at random, which a datagram tells of.
+// Sample returns up to n live members at random.
 func (r *Roster) Sample(n int, now time.Time) []Member {
+	return r.take(n, now, func(out []sighting) {})
+}
+
+// Latest returns up to n live members that were heard of last, so that news travels on before it is old.
+func (r *Roster) Latest(n int, now time.Time) []Member {
+	return r.take(n, now, func(out []sighting) {
+		slices.SortStableFunc(out, func(a, b sighting) int { return b.at.Compare(a.at) })
+	})
+}
+
+// aliveFor is how long a member counts after its beat last grew; the caller holds mu.
+func (r *Roster) aliveFor() time.Duration {
+	return max(AliveFor, AliveFor*time.Duration(len(r.known))/freshMembers)
+}
+
+func (r *Roster) take(n int, now time.Time, order func([]sighting)) []Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []Member
+	var out []sighting
 	for _, s := range r.known {
-		if now.Sub(s.at) <= AliveFor {
-			out = append(out, s.member)
+		if now.Sub(s.at) <= r.aliveFor() {
+			out = append(out, s)
 		}
 	}
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(n, len(out))]
+	order(out)
+	return lo.Map(out[:min(n, len(out))], func(s sighting, _ int) Member { return s.member })
 }
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,96 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/roster"
+)
+
+func member(name string, incarnation, beat uint64) roster.Member {
+	return roster.Member{Name: name, Incarnation: incarnation, Beat: beat}
+}
+
+func TestMergeKeepsWhatIsNewer(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		first, second roster.Member
+		want          uint64
+	}{
+		{"greater beat", member("b", 1, 5), member("b", 1, 6), 6},
+		{"smaller beat", member("b", 1, 5), member("b", 1, 4), 5},
+		{"new start begins anew", member("b", 1, 5), member("b", 2, 1), 1},
+		{"old start is no news", member("b", 2, 1), member("b", 1, 9), 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := roster.New(member("a", 1, 0))
+			r.Merge([]roster.Member{c.first}, time.Now())
+			r.Merge([]roster.Member{c.second}, time.Now())
+			require.Equal(t, c.want, r.Peers(time.Now())[0].Beat)
+		})
+	}
+}
+
+func TestSilentAndLeavingMembersDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := roster.New(member("a", 1, 0))
+		leaving := member("c", 1, 1)
+		leaving.Leaving = true
+		r.Merge([]roster.Member{member("b", 1, 1), leaving, member("a", 9, 9)}, time.Now())
+		require.Equal(t, []string{"b", "a"}, r.Names(time.Now()))
+		time.Sleep(roster.AliveFor / 2)
+		r.Merge([]roster.Member{member("b", 1, 1)}, time.Now())
+		time.Sleep(roster.AliveFor/2 + time.Millisecond)
+		require.Equal(t, []string{"a"}, r.Names(time.Now()), "a beat that is told again is no news")
+		require.ElementsMatch(t, []string{"a", "b", "c"}, r.Recent())
+		r.Leave()
+		require.Empty(t, r.Names(time.Now()))
+		time.Sleep(2 * time.Minute)
+		r.Merge(nil, time.Now())
+		require.Equal(t, []string{"a"}, r.Recent())
+	})
+}
+
+func TestNews(t *testing.T) {
+	r := roster.New(member("a", 1, 0))
+	require.True(t, r.News(member("b", 1, 1)))
+	r.Merge([]roster.Member{member("b", 1, 1)}, time.Now())
+	require.False(t, r.News(member("b", 1, 9)))
+	require.True(t, r.News(member("b", 2, 0)))
+}
+
+// The pattern: beats spread over a fan-out of three among as many daemons as one site has, and more.
+func TestBeatsReachEveryDaemonInTime(t *testing.T) {
+	for _, n := range []int{3, 15, 139} {
+		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rs := lo.Times(n, func(i int) *roster.Roster { return roster.New(roster.Member{Name: fmt.Sprint(i), Incarnation: 1}) })
+				byName := map[string]*roster.Roster{}
+				for _, r := range rs {
+					byName[r.Self().Name] = r
+				}
+				for round := range 40 {
+					for _, r := range rs {
+						news := append(r.Latest(24, time.Now()), r.Beat())
+						for _, p := range r.Sample(3, time.Now()) {
+							byName[p.Name].Merge(news, time.Now())
+						}
+						if round%5 == 0 {
+							rs[round%3%n].Merge(news, time.Now())
+							r.Merge(append(rs[round%3%n].Latest(24, time.Now()), rs[round%3%n].Self()), time.Now())
+						}
+					}
+					time.Sleep(400 * time.Millisecond)
+				}
+				for _, r := range rs {
+					require.GreaterOrEqual(t, float64(len(r.Names(time.Now()))), 0.9*float64(n))
+				}
+			})
+		})
+	}
+}
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -36,11 +36,9 @@
 	returnSpan = 2500 * time.Millisecond
 	// coldSlack is how far two statements of one cold start may lie apart without being told to peers.
 	coldSlack = 400 * time.Millisecond
-	// joinWait is how long a daemon that starts waits for a peer to copy from before it reads.
-	joinWait = 300 * time.Millisecond
 	// firstStartSpread is the time over which daemons that start together spread their first reads.
 	firstStartSpread = 1500 * time.Millisecond
-	// joinPoll is how often a starting daemon looks for peers.
+	// joinPoll is how often a starting daemon looks for a peer that has read.
 	joinPoll = 20 * time.Millisecond
 )
 
@@ -50,8 +48,6 @@
 	Push(p *gossippb.Push)
 	// Fetch returns a peer's copy; version is the configuration that this daemon has.
 	Fetch(ctx context.Context, from roster.Member, version uint64) (*gossippb.Copy, error)
-	// Live returns the live peers.
-	Live() []roster.Member
 	// Rank returns the daemon's place, from 0, among those that read for all.
 	Rank() int
 }
@@ -135,21 +131,18 @@
 	}
 }
 
-// join copies from a peer if one is found in time.
+// join spreads the first reads of daemons that start together, and copies from the first of them instead;
+// a daemon that starts alone, or again, reads at once.
 func (s *Syncer) join(ctx context.Context) {
-	wait := joinWait
-	if s.o.FirstStart {
-		wait += time.Duration(rand.Int64N(int64(firstStartSpread)))
+	if !s.o.FirstStart {
+		return
 	}
-	until := time.Now().Add(wait)
+	until := time.Now().Add(time.Duration(rand.Int64N(int64(firstStartSpread))))
 	for time.Now().Before(until) && ctx.Err() == nil && !s.State().Configured() {
 		select {
 		case from := <-s.behind:
 			s.fetch(ctx, from)
 		default:
-			if live := s.o.Peers.Live(); len(live) > 0 && !s.o.FirstStart {
-				s.fetch(ctx, live[rand.IntN(len(live))])
-			}
 			time.Sleep(joinPoll)
 		}
 	}
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -224,16 +224,6 @@
 	return l.fleet.syncers[n].Copy(version), nil
 }
 
-func (l link) Live() []roster.Member {
-	var out []roster.Member
-	for i := range l.fleet.syncers {
-		if i != l.self && !l.fleet.isCut(i) && !l.fleet.isCut(l.self) {
-			out = append(out, roster.Member{Name: fmt.Sprint(i)})
-		}
-	}
-	return out
-}
-
 // Rank is the daemon's own number: daemon 0 reads for all.
 func (l link) Rank() int { return l.self }
 
