A fleet that restarts while the store is away is back soon after it; copies do not wait for reads

Ruled out: a process overdue at its grace (it was killed by kill_all). TestRestartedFleetIsBackSoonAfterTheStore failed before.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -14,9 +14,9 @@
 // and may go on sending when few daemons of a zone are left.
 const (
 	// serveShare of the grace is spent taking requests as before.
-	serveShare = 0.65
+	serveShare = 0.62
 	// endShare of the grace is when the daemon exits whatever is under way.
-	endShare = 0.95
+	endShare = 0.9
 )
 
 // drain fails readiness, serves on until the balancer has noticed, ends what is under way and stops listening.
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
@@ -30,6 +32,12 @@
 	// back must be read within the 4 s after which daemons count as in touch.
 	firstBackoff = 250 * time.Millisecond
 	maxBackoff   = 2 * time.Second
+	// firstTryPause is the pause after a failed read of a daemon that has no configuration yet and can serve nobody;
+	// its reads keep to callTimeout but for each patientTry-th, which waits for a store that is slow.
+	firstTryPause = 100 * time.Millisecond
+	patientTry    = 4
+	// returnEvery is how often the first in rank reads while targets publish themselves again after the store's return.
+	returnEvery = 300 * time.Millisecond
 	// lapseGap is how old a copy is when entries may have expired while nobody could read: two heartbeats.
 	lapseGap = 2500 * time.Millisecond
 	// returnSpan is how soon after the store's return live targets have published themselves again.
@@ -77,12 +85,17 @@
 	history history
 	// returned is when a read first succeeded after the store had been away.
 	returned time.Time
+	// reading is when the read under way began, cancelRead ends it.
+	reading    time.Time
+	cancelRead context.CancelFunc
 
-	// Only Run uses the fields below.
+	// Only readLoop uses the fields below.
 	nextTry time.Time
 	backoff time.Duration
 	timeout time.Duration
 	lost    bool
+	// tries counts failed reads.
+	tries int
 }
 
 // New returns a syncer of an empty copy.
@@ -111,8 +124,27 @@
 	s.nudge()
 }
 
-// Run reads whenever the copy has grown too old, until ctx ends.
+// Run reads whenever the copy has grown too old, and copies from peers that know more, until ctx ends.
 func (s *Syncer) Run(ctx context.Context) {
+	var group errgroup.Group
+	// Copies do not wait for a read that hangs.
+	group.Go(func() error { s.copyLoop(ctx); return nil })
+	s.readLoop(ctx)
+	_ = group.Wait()
+}
+
+func (s *Syncer) copyLoop(ctx context.Context) {
+	for {
+		select {
+		case from := <-s.behind:
+			s.fetch(ctx, from)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Syncer) readLoop(ctx context.Context) {
 	s.join(ctx)
 	for ctx.Err() == nil {
 		s.dropLapsed()
@@ -122,8 +154,6 @@
 			if s.due(time.Now()) <= 0 {
 				s.read(ctx)
 			}
-		case from := <-s.behind:
-			s.fetch(ctx, from)
 		case <-s.wake:
 		case <-ctx.Done():
 		}
@@ -139,18 +169,18 @@
 	}
 	until := time.Now().Add(time.Duration(rand.Int64N(int64(firstStartSpread))))
 	for time.Now().Before(until) && ctx.Err() == nil && !s.State().Configured() {
-		select {
-		case from := <-s.behind:
-			s.fetch(ctx, from)
-		default:
-			time.Sleep(joinPoll)
-		}
+		time.Sleep(joinPoll)
 	}
 }
 
 // due returns how long the daemon need not read.
 func (s *Syncer) due(now time.Time) time.Duration {
-	at := s.State().FreshAt.Add(limit(s.o.Peers.Rank(), s.o.Bound()))
+	rank := s.o.Peers.Rank()
+	age := limit(rank, s.o.Bound())
+	if rank == 0 && s.returning(now) {
+		age = min(age, returnEvery)
+	}
+	at := s.State().FreshAt.Add(age)
 	if s.nextTry.After(at) {
 		at = s.nextTry
 	}
@@ -168,8 +198,11 @@
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	begun := time.Now()
+	s.mu.Lock()
+	s.reading, s.cancelRead = begun, cancel
+	s.mu.Unlock()
 	err := s.readOnce(ctx, begun)
-	if ctx.Err() != nil {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		s.timeout = min(2*s.timeout, maxCallTimeout)
 	}
 	if err != nil {
@@ -178,6 +211,9 @@
 	}
 	if s.lost {
 		s.lost = false
+		s.mu.Lock()
+		s.returned = time.Now()
+		s.mu.Unlock()
 		events.StoreRegained.Log(s.o.Log, zap.Uint64("revision", s.State().Inventory.Revision))
 	}
 	s.timeout, s.backoff, s.nextTry = callTimeout, 0, time.Time{}
@@ -220,13 +256,35 @@
 }
 
 func (s *Syncer) failed(err error) {
+	s.tries++
+	if !s.State().Configured() {
+		s.timeout = callTimeout
+		if s.tries%patientTry == 0 {
+			s.timeout = maxCallTimeout
+		}
+		s.nextTry = time.Now().Add(firstTryPause)
+		s.noteLost(err)
+		return
+	}
 	s.backoff = min(max(2*s.backoff, firstBackoff), maxBackoff)
 	// A random half keeps daemons that failed together from coming back together.
 	s.nextTry = time.Now().Add(s.backoff/2 + time.Duration(rand.Int64N(int64(s.backoff))))
-	if !s.lost {
-		s.lost = true
-		events.StoreLost.Log(s.o.Log, zap.Error(err), zap.Duration("age", time.Since(s.State().FreshAt)))
+	s.noteLost(err)
+}
+
+func (s *Syncer) noteLost(err error) {
+	if s.lost {
+		return
 	}
+	s.lost = true
+	events.StoreLost.Log(s.o.Log, zap.Error(err), zap.Duration("age", time.Since(s.State().FreshAt)))
+}
+
+// returning reports whether targets may still be publishing themselves again after the store's return.
+func (s *Syncer) returning(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.returned.IsZero() && now.Before(s.returned.Add(returnSpan))
 }
 
 // apply takes in a delta that ends at or after the copy's revision; own says that this daemon read it from the store.
@@ -237,10 +295,11 @@
 		return
 	}
 	now := time.Now()
+	s.noteReturn(before.FreshAt, now)
+	s.dropOldRead(at)
 	d.Targets = lo.Filter(d.Targets, func(c inventory.Changed, _ int) bool { return c.At() > before.Inventory.Revision })
 	d.Targets = s.material(before.Inventory, d.Targets)
 	if own {
-		s.noteReturn(before.FreshAt, now)
 		d.Targets = s.keepLapsed(d.Targets, now)
 	}
 	after := before
@@ -261,9 +320,16 @@
 	s.nudge()
 }
 
+// dropOldRead ends a read that hangs while a peer has read since.
+func (s *Syncer) dropOldRead(freshAt time.Time) {
+	if s.cancelRead != nil && freshAt.Sub(s.reading) > callTimeout {
+		s.cancelRead()
+	}
+}
+
 // noteReturn remembers a read that follows a time in which nobody could read.
 func (s *Syncer) noteReturn(freshAt, now time.Time) {
-	if !freshAt.IsZero() && now.Sub(freshAt) > lapseGap {
+	if s.returned.IsZero() && freshAt.IsZero() || !freshAt.IsZero() && now.Sub(freshAt) > lapseGap {
 		s.returned = now
 	}
 }
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -299,6 +299,14 @@
 				f.setCut(i, true)
 			}
 		}, nil},
+		{"the others cut off from the store for long", func(f *fleet) {
+			for i := 1; i < daemonCount; i++ {
+				f.store.setDown(fmt.Sprint(i), true)
+			}
+			f.setCut(0, true)
+			time.Sleep(20 * time.Second)
+			f.setCut(0, false)
+		}, nil},
 		{"history forgotten", func(f *fleet) { f.store.mu.Lock(); f.store.oldest = f.store.revision + 1; f.store.mu.Unlock() }, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -388,6 +396,21 @@
 	})
 }
 
+// The pattern: all daemons restart while the store is away, and serve nobody until it is back.
+func TestRestartedFleetIsBackSoonAfterTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.setDown("", true)
+		f := startFleet(s)
+		defer f.close()
+		require.False(t, f.syncers[0].State().Configured())
+		s.setDown("", false)
+		f.within(t, 1100*time.Millisecond, everyone(), func(s published.State) bool { return s.Configured() })
+		s.put(inventory.Target{ID: "late", Service: "s0", Slots: 2})
+		f.within(t, 500*time.Millisecond, everyone(), func(s published.State) bool { _, ok := s.Inventory.Target("late"); return ok })
+	})
+}
+
 func TestDoubtReadsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(newStore())
