Requests that crash every target that runs them are refused, by what comes again

Ruled out: the quarantine of the product's own interface, which condemns after two losses whatever was answered.

--- /dev/null
+++ b/internal/crashguard/doc.go
@@ -0,0 +1,2 @@
+// Package crashguard recognizes requests that crash every target that runs them, by what comes again.
+package crashguard
--- /dev/null
+++ b/internal/crashguard/guard.go
@@ -0,0 +1,154 @@
+package crashguard
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
+)
+
+const (
+	// RefuseAt is the number of attempts of a request, each with a target lost and none answered by any target, at which
+	// it is refused.
+	RefuseAt = 3
+	// exonerates is how long an answer of any target speaks for a request: its parts and second sends end within it.
+	exonerates = 5 * time.Second
+	// confirmWithin is how soon after a broken call its target must be seen lost: two heartbeats and a connection attempt.
+	confirmWithin = 3 * time.Second
+	// keepFor is how long a suspicion lasts after its latest loss; callers come again within seconds.
+	keepFor = 2 * time.Minute
+	// maxSuspects bounds the memory of a guard; at the bound the oldest suspicion is dropped.
+	maxSuspects = 4096
+)
+
+// Loss is one attempt of a request under which a target was lost.
+type Loss struct {
+	Fingerprint uint64
+	Attempt     string
+}
+
+// Guard counts the attempts of each request under which targets were lost; its zero value knows none.
+type Guard struct {
+	mu sync.Mutex
+	// broken are calls that broke a moment ago, by target.
+	broken map[string]map[Loss]time.Time
+	// answered are the requests that any target answered a moment ago.
+	answered map[uint64]time.Time
+	suspects map[uint64]*suspicion
+}
+
+type suspicion struct {
+	attempts map[string]bool
+	at       time.Time
+}
+
+// Fingerprint names a request by what comes again: all but its id.
+func Fingerprint(r targetcall.Request) uint64 {
+	h := xxhash.New()
+	for _, part := range []string{r.Method, r.Host, r.Path} {
+		// A hash never fails to take bytes.
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(r.Body)
+	return h.Sum64()
+}
+
+// Broken notes that the connection broke while a target ran a request.
+func (g *Guard) Broken(target string, l Loss, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.forget(now)
+	if g.broken == nil {
+		g.broken = map[string]map[Loss]time.Time{}
+	}
+	if g.broken[target] == nil {
+		g.broken[target] = map[Loss]time.Time{}
+	}
+	g.broken[target][l] = now
+}
+
+// Lost notes that a target has ended and returns the losses that this confirms.
+func (g *Guard) Lost(target string, now time.Time) []Loss {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []Loss
+	for l, at := range g.broken[target] {
+		if now.Sub(at) <= confirmWithin && now.Sub(g.answered[l.Fingerprint]) > exonerates {
+			out = append(out, l)
+			g.count(l, now)
+		}
+	}
+	delete(g.broken, target)
+	return out
+}
+
+// Told counts a loss that a peer confirmed.
+func (g *Guard) Told(l Loss, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.count(l, now)
+}
+
+// Answered clears a request: one that crashes its targets is never answered.
+func (g *Guard) Answered(fingerprint uint64, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.suspects, fingerprint)
+	if g.answered == nil {
+		g.answered = map[uint64]time.Time{}
+	}
+	g.answered[fingerprint] = now
+	if len(g.answered) > maxSuspects {
+		maps.DeleteFunc(g.answered, func(_ uint64, at time.Time) bool { return now.Sub(at) > exonerates })
+	}
+}
+
+// Refuses reports whether a request must not reach targets any more.
+func (g *Guard) Refuses(fingerprint uint64, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.suspects[fingerprint]
+	return s != nil && len(s.attempts) >= RefuseAt && now.Sub(s.at) <= keepFor
+}
+
+func (g *Guard) count(l Loss, now time.Time) {
+	s := g.suspects[l.Fingerprint]
+	if s == nil {
+		g.makeRoom()
+		if g.suspects == nil {
+			g.suspects = map[uint64]*suspicion{}
+		}
+		s = &suspicion{attempts: map[string]bool{}}
+		g.suspects[l.Fingerprint] = s
+	}
+	s.attempts[l.Attempt] = true
+	s.at = now
+}
+
+// forget drops the broken calls that nothing confirmed.
+func (g *Guard) forget(now time.Time) {
+	for target, calls := range g.broken {
+		maps.DeleteFunc(calls, func(_ Loss, at time.Time) bool { return now.Sub(at) > confirmWithin })
+		if len(calls) == 0 {
+			delete(g.broken, target)
+		}
+	}
+}
+
+func (g *Guard) makeRoom() {
+	if len(g.suspects) < maxSuspects {
+		return
+	}
+	var oldest uint64
+	var at time.Time
+	for f, s := range g.suspects {
+		if at.IsZero() || s.at.Before(at) {
+			oldest, at = f, s.at
+		}
+	}
+	delete(g.suspects, oldest)
+}
--- /dev/null
+++ b/internal/crashguard/guard_test.go
@@ -0,0 +1,103 @@
+package crashguard_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/crashguard"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
+)
+
+const crasher, innocent = uint64(1), uint64(2)
+
+// crash lets a target end while it runs an attempt of each request.
+func crash(g *crashguard.Guard, target, attempt string, now time.Time, fingerprints ...uint64) []crashguard.Loss {
+	for _, f := range fingerprints {
+		g.Broken(target, crashguard.Loss{Fingerprint: f, Attempt: attempt}, now)
+	}
+	return g.Lost(target, now.Add(time.Second))
+}
+
+func TestRequestThatCrashesItsTargetsIsRefused(t *testing.T) {
+	var g crashguard.Guard
+	now := time.Now()
+	for i := range crashguard.RefuseAt {
+		require.False(t, g.Refuses(crasher, now))
+		require.Len(t, crash(&g, fmt.Sprint("t", i), fmt.Sprint("r", i), now, crasher), 1)
+	}
+	require.True(t, g.Refuses(crasher, now))
+	require.False(t, g.Refuses(crasher, now.Add(time.Hour)), "a suspicion ends")
+}
+
+func TestInnocentRequestOnTheSameTargetsIsNotRefused(t *testing.T) {
+	var g crashguard.Guard
+	now := time.Now()
+	for i := range 10 {
+		crash(&g, fmt.Sprint("t", i), fmt.Sprint("r", i), now, crasher, innocent)
+		if i%2 == 1 {
+			g.Answered(innocent, now)
+		}
+		require.False(t, g.Refuses(innocent, now), "crash %d", i)
+		now = now.Add(10 * time.Second)
+	}
+	require.True(t, g.Refuses(crasher, now))
+}
+
+// The pattern: replicas of many shards crash at once under searches that touch all shards.
+func TestSearchUnderACrashOfManyTargetsIsNotRefused(t *testing.T) {
+	var g crashguard.Guard
+	now := time.Now()
+	for attempt := range 10 {
+		g.Answered(innocent, now)
+		for i := range 8 {
+			require.Empty(t, crash(&g, fmt.Sprint("t", i), fmt.Sprint("r", attempt), now, innocent), "other shards answered")
+		}
+		now = now.Add(time.Second)
+	}
+	for i := range 8 {
+		crash(&g, fmt.Sprint("t", i), "one attempt", now.Add(time.Minute), innocent)
+	}
+	require.False(t, g.Refuses(innocent, now.Add(time.Minute)), "one attempt counts once")
+}
+
+func TestBrokenConnectionsWithoutACrashProveNothing(t *testing.T) {
+	var g crashguard.Guard
+	now := time.Now()
+	for i := range 10 {
+		g.Broken(fmt.Sprint("t", i), crashguard.Loss{Fingerprint: crasher, Attempt: fmt.Sprint("r", i)}, now)
+		require.Empty(t, g.Lost(fmt.Sprint("t", i), now.Add(time.Minute)), "too long ago")
+	}
+	require.False(t, g.Refuses(crasher, now))
+}
+
+func TestLossesToldByPeersCount(t *testing.T) {
+	var g crashguard.Guard
+	now := time.Now()
+	for range 10 {
+		g.Told(crashguard.Loss{Fingerprint: crasher, Attempt: "r1"}, now)
+	}
+	require.False(t, g.Refuses(crasher, now), "the same attempt counts once")
+	g.Told(crashguard.Loss{Fingerprint: crasher, Attempt: "r2"}, now)
+	g.Told(crashguard.Loss{Fingerprint: crasher, Attempt: "r3"}, now)
+	require.True(t, g.Refuses(crasher, now))
+}
+
+func TestFingerprintIsWhatComesAgain(t *testing.T) {
+	one := targetcall.Request{ID: "1", Method: "GET", Host: "h", Path: "/p", Body: []byte("b")}
+	again := one
+	again.ID = "2"
+	require.Equal(t, crashguard.Fingerprint(one), crashguard.Fingerprint(again))
+	for _, change := range []func(r *targetcall.Request){
+		func(r *targetcall.Request) { r.Method = "POST" },
+		func(r *targetcall.Request) { r.Host = "i" },
+		func(r *targetcall.Request) { r.Path = "/p?" },
+		func(r *targetcall.Request) { r.Body = nil },
+	} {
+		other := one
+		change(&other)
+		require.NotEqual(t, crashguard.Fingerprint(one), crashguard.Fingerprint(other))
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
 	"github.com/knapweedpoint/knapweedpoint/internal/scatter"
 	"github.com/knapweedpoint/knapweedpoint/internal/split"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
 )
 
 const (
@@ -23,6 +24,8 @@
 	firstConfiguration = 250 * time.Millisecond
 	// configurationPoll is how often a waiting request looks for it.
 	configurationPoll = 5 * time.Millisecond
+	// retryCrashing is told to callers whose request crashes targets: the suspicion lasts for minutes.
+	retryCrashing = 10 * time.Minute
 	// defaultTimeout is for routes without a timeout, under callers without a deadline.
 	defaultTimeout = 30 * time.Second
 )
@@ -31,6 +34,7 @@
 const (
 	ReasonUnconfigured = "noConfiguration"
 	ReasonNoService    = "noService"
+	ReasonCrashes      = "crashesTargets"
 )
 
 // Dispatcher answers callers; all fields but Log and Scope are needed.
@@ -43,6 +47,8 @@
 	Margin time.Duration
 	Log    *zap.Logger
 	Scope  tally.Scope
+	// Refuses reports whether a request crashes its targets and must not reach them.
+	Refuses func(r targetcall.Request) bool
 }
 
 // Answer answers one request; it returns at the latest when the caller or the route stops waiting, or ctx ends.
@@ -57,6 +63,9 @@
 		return d.end(e, NoRoute{})
 	}
 	e.route = route
+	if d.Refuses != nil && d.Refuses(q.Request) {
+		return d.end(e, NotRun{Reason: ReasonCrashes, RetryAfter: retryCrashing})
+	}
 	until := d.until(q, route)
 	switch x := route.Destination.(type) {
 	case routetable.Scatter:
--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -10,6 +10,7 @@
 
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
 	"github.com/knapweedpoint/knapweedpoint/internal/choice"
+	"github.com/knapweedpoint/knapweedpoint/internal/crashguard"
 	"github.com/knapweedpoint/knapweedpoint/internal/dispatch"
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossip"
@@ -36,6 +37,7 @@
 	do.ProvideValue(i, &permission.Gate{})
 	do.ProvideValue(i, &retrybudget.Budget{})
 	do.ProvideValue(i, &split.Picker{})
+	do.ProvideValue(i, &crashguard.Guard{})
 	do.ProvideValue(i, &blackboard.Cell[published.State]{})
 	do.Provide(i, d.newRoster)
 	do.Provide(i, d.newGossiper)
@@ -53,6 +55,7 @@
 		return err
 	}
 	d.syncer = syncer
+	d.guard = do.MustInvoke[*crashguard.Guard](d.injector)
 	d.hints = &stallhint.Teller{Tell: syncer.gossiper.Broadcast}
 	d.forwarder = do.MustInvoke[*forward.Forwarder](d.injector)
 	d.housekeep = do.MustInvoke[*housekeeper](d.injector)
@@ -141,6 +144,7 @@
 		Margin:    margin,
 		Log:       d.o.Log,
 		Scope:     d.o.Scope,
+		Refuses:   d.refuses,
 	}, nil
 }
 
--- a/internal/entry/changes.go
+++ b/internal/entry/changes.go
@@ -8,13 +8,13 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/crashguard"
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/permission"
 	"github.com/knapweedpoint/knapweedpoint/internal/published"
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
-	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
 )
 
 // changed passes on what differs between two copies of the published state.
@@ -55,26 +55,25 @@
 		}
 	}
 	for _, t := range before.All() {
-		if _, ok := after.Target(t.ID); !ok {
+		next, ok := after.Target(t.ID)
+		if !ok || next.Born != t.Born {
+			d.lost(t, now)
+		}
+		if !ok {
 			events.TargetWithdrawn.Log(d.o.Log, zap.String("target", t.ID), zap.String("service", t.Service), zap.Uint64("revision", after.Revision))
 		}
 	}
 }
 
-// reported notes a target that did not accept a connection.
-func (d *Daemon) reported(t inventory.Target, r targetcall.Result) {
-	if x, ok := r.(targetcall.NotSent); ok && x.Down {
-		events.TargetDown.Log(d.o.Log, zap.String("target", t.ID), zap.String("service", t.Service), zap.Error(x.Err))
-		d.o.Pool.Forget(t.ID)
-	}
-}
-
 // Received takes in a peer's datagram.
 func (d *Daemon) Received(from roster.Member, m *gossippb.Datagram) {
 	if p := m.GetPush(); p != nil {
 		d.syncer.syncer.Take(from, p)
 	}
 	now := time.Now()
+	for _, x := range m.GetCrashes() {
+		d.guard.Told(crashguard.Loss{Fingerprint: x.GetFingerprint(), Attempt: x.GetAttempt()}, now)
+	}
 	for _, x := range m.GetStalls() {
 		if t, ok := d.State().Inventory.Target(x.GetTarget()); ok {
 			d.forwarder.Book.Stalled(t, from.Name, now)
--- /dev/null
+++ b/internal/entry/crashes.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/crashguard"
+	"github.com/knapweedpoint/knapweedpoint/internal/events"
+	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
+	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
+)
+
+// reported learns from how a send ended.
+func (d *Daemon) reported(r targetcall.Request, t inventory.Target, result targetcall.Result) {
+	now := time.Now()
+	switch x := result.(type) {
+	case targetcall.Answered:
+		d.guard.Answered(crashguard.Fingerprint(r), now)
+	case targetcall.Unknown:
+		d.guard.Broken(t.ID, crashguard.Loss{Fingerprint: crashguard.Fingerprint(r), Attempt: r.ID}, now)
+	case targetcall.NotSent:
+		if x.Down {
+			events.TargetDown.Log(d.o.Log, zap.String("target", t.ID), zap.String("service", t.Service), zap.Error(x.Err))
+			d.o.Pool.Forget(t.ID)
+			d.lost(t, now)
+		}
+	case targetcall.Refused:
+	}
+}
+
+// lost notes that a target has ended, and tells peers of the requests that it ran then.
+func (d *Daemon) lost(t inventory.Target, now time.Time) {
+	losses := d.guard.Lost(t.ID, now)
+	if len(losses) == 0 {
+		return
+	}
+	for _, l := range losses {
+		events.RequestSuspect.Log(d.o.Log, zap.Uint64("fingerprint", l.Fingerprint),
+			zap.String("request", l.Attempt), zap.String("target", t.ID))
+	}
+	d.syncer.gossiper.Broadcast(&gossippb.Datagram{Crashes: lo.Map(losses, func(l crashguard.Loss, _ int) *gossippb.Crash {
+		return &gossippb.Crash{Fingerprint: l.Fingerprint, Attempt: l.Attempt}
+	})})
+}
+
+// refuses reports whether a request has crashed its targets again and again.
+func (d *Daemon) refuses(r targetcall.Request) bool {
+	f := crashguard.Fingerprint(r)
+	if !d.guard.Refuses(f, time.Now()) {
+		return false
+	}
+	events.RequestCrashes.Log(d.o.Log, zap.String("request", r.ID), zap.Uint64("fingerprint", f))
+	return true
+}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
+	"github.com/knapweedpoint/knapweedpoint/internal/crashguard"
 	"github.com/knapweedpoint/knapweedpoint/internal/dispatch"
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
@@ -41,6 +42,7 @@
 	metrics   *http.Server
 	housekeep *housekeeper
 	hints     *stallhint.Teller
+	guard     *crashguard.Guard
 
 	group errgroup.Group
 	// sends outlast the requests that made them; nothing waits for them at the end.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -23,8 +23,8 @@
 	Inventory func() inventory.Inventory
 	// Workers run the sends, which may outlast their job.
 	Workers *workers.Pool
-	// Report is told how each send ended.
-	Report func(t inventory.Target, r targetcall.Result)
+	// Report is told how each send of a request ended.
+	Report func(r targetcall.Request, t inventory.Target, result targetcall.Result)
 	// Overdue is told when a target's answer is overdue.
 	Overdue func(t inventory.Target)
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -136,7 +136,7 @@
 		cancelled := ctx.Err() != nil
 		fl.ticket.End(result, cancelled, time.Now())
 		if f.Report != nil && !cancelled {
-			f.Report(t, result)
+			f.Report(call.Request, t, result)
 		}
 		cancel()
 		results <- ended{flight: fl, result: result}
