Gossip without addresses, hints only of answers that are long overdue

Cause: 2 MB between zones before any traffic (members with their addresses in each datagram), and more than half of the hints named targets that were only slow.

--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -11,19 +11,19 @@
 )
 
 func newCheck() *cobra.Command {
-	var own bool
+	var own, entry bool
 	c := &cobra.Command{
 		Use:     "check FILE",
 		Short:   "Validate a settings tree, or a daemon's own settings",
-		Long:    "Validate a settings tree, or with --daemon a daemon's own settings. Prints every problem with its JSON path and exits 1 when there is one.",
-		Example: "  knapweedpoint check tree.json\n  knapweedpoint check --daemon vm-a1.json",
+		Long:    "Validate a settings tree, with --daemon a daemon's own settings, or with --entry an entry daemon's. Prints every problem with its JSON path and exits 1 when there is one.",
+		Example: "  knapweedpoint check tree.json\n  knapweedpoint check --daemon vm-a1.json\n  knapweedpoint check --entry entry.json",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			data, err := os.ReadFile(args[0])
 			if err != nil {
 				return errorx.ExternalError.Wrap(err, "read settings")
 			}
-			problems := check(data, own)
+			problems := check(data, own, entry)
 			for _, p := range problems {
 				_, _ = fmt.Fprintln(c.OutOrStdout(), p)
 			}
@@ -35,10 +35,16 @@
 		},
 	}
 	c.Flags().BoolVar(&own, "daemon", false, "the file holds a daemon's own settings")
+	c.Flags().BoolVar(&entry, "entry", false, "the file holds an entry daemon's settings")
+	c.MarkFlagsMutuallyExclusive("daemon", "entry")
 	return c
 }
 
-func check(data []byte, own bool) []settings.Problem {
+func check(data []byte, own, entry bool) []settings.Problem {
+	if entry {
+		_, problems := settings.ParseEntry(data)
+		return problems
+	}
 	if own {
 		_, problems := settings.ParseDaemon(data)
 		return problems
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/knapweedpoint/knapweedpoint/internal/gossip"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
 	"github.com/knapweedpoint/knapweedpoint/internal/peercopy"
@@ -28,9 +30,13 @@
 	p.gossiper.Broadcast(&gossippb.Datagram{Push: push})
 }
 
-// Fetch returns a peer's copy.
+// Fetch returns a peer's copy; a push names its sender without addresses.
 func (p peers) Fetch(ctx context.Context, from roster.Member, version uint64) (*gossippb.Copy, error) {
-	return peercopy.Fetch(ctx, p.http, from.Copies, version)
+	m, ok := p.roster.Find(from.Name)
+	if !ok {
+		return nil, errorx.IllegalState.New("no address of %s is known", from.Name)
+	}
+	return peercopy.Fetch(ctx, p.http, m.Copies, version)
 }
 
 // Rank returns the daemon's place among the live daemons; one that is leaving is the last.
--- a/internal/events/event.go
+++ b/internal/events/event.go
@@ -61,7 +61,6 @@
 	TargetPublished  = Event{820, "targetPublished", Info}
 	TargetWithdrawn  = Event{821, "targetWithdrawn", Info}
 	TargetDown       = Event{822, "targetDown", Warn}
-	TargetOverdue    = Event{823, "targetOverdue", Info}
 	RequestCrashes   = Event{824, "requestCrashes", Error}
 	DatagramFailed   = Event{830, "datagramFailed", Warn}
 	DatagramOdd      = Event{831, "datagramOdd", Warn}
@@ -82,7 +81,7 @@
 		PeerUnreachable, PeerQueueFull, TargetCold, TargetWarm, TargetLost, TargetBroke,
 		RequestSuspect, RequestRefused, BookingUnknown, ListenerFailed,
 		RequestEnded, StoreLost, StoreRegained, StoreRead, CopyTaken, CopyFailed, EntryForeign, OrdersTaken,
-		TargetPublished, TargetWithdrawn, TargetDown, TargetOverdue, RequestCrashes,
+		TargetPublished, TargetWithdrawn, TargetDown, RequestCrashes,
 		DatagramFailed, DatagramOdd, MembersChanged, ClockSuspended, SettingsReloaded, SettingsRefused,
 		LogLinesDropped, InterfaceFailed,
 	}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -17,6 +17,8 @@
 	// linger is how long a send that lost against a second one may go on, so that its connection stays usable;
 	// it is longer than a target's pause of 200 ms.
 	linger = 300 * time.Millisecond
+	// hintPatience is how many halves of a call's patience pass before others are told of its target.
+	hintPatience = 3
 	// minBackoff is the shortest wait before targets that are all full are asked again.
 	minBackoff = 4 * time.Millisecond
 	// retryWhenFull and retryWhenGone are told to callers whose request did not run: a queue empties within
@@ -212,9 +214,7 @@
 	}
 	f := r.batch.forwarder
 	late := r.flying[len(r.flying)-1]
-	if f.Overdue != nil {
-		f.Overdue(late.target)
-	}
+	r.hint(now)
 	if !r.job.Route.Repeatable || len(r.flying) > 1 {
 		return
 	}
@@ -233,6 +233,18 @@
 	r.send(c.Target, now)
 }
 
+// hint tells of the targets whose answers are long overdue: most of those that only miss their patience are just slow.
+func (r *run) hint(now time.Time) {
+	if r.batch.forwarder.Overdue == nil {
+		return
+	}
+	for _, fl := range r.flying {
+		if now.Sub(fl.begun) >= hintPatience*fl.ticket.Patience()/2 {
+			r.batch.forwarder.Overdue(fl.target)
+		}
+	}
+}
+
 func (r *run) giveUp() Outcome {
 	if r.last != nil {
 		return r.last
@@ -266,6 +278,7 @@
 
 // release lets the sends that lost go on for a while and then cancels them.
 func (r *run) release() {
+	r.hint(time.Now())
 	if !r.job.Route.Repeatable {
 		return
 	}
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -21,8 +21,10 @@
 	Every = 400 * time.Millisecond
 	// fanOut is how many peers one round reaches.
 	fanOut = 3
-	// sampleSize is how many members one datagram tells of, some 60 bytes each.
-	sampleSize = 24
+	// sampleSize is how many members one datagram tells of, some 30 bytes each.
+	sampleSize = 12
+	// welcomeSize is how many members a daemon that has just started is told of at once, some 100 bytes each.
+	welcomeSize = 100
 	// seedEvery is how many rounds pass between datagrams to a seed, which joins parts that lost each other.
 	seedEvery = 5
 	// MaxDatagram bounds a datagram in bytes; UDP carries up to 64 KB.
@@ -65,7 +67,7 @@
 	self := g.Roster.Beat()
 	d := &gossippb.Datagram{
 		Self:    encodeMember(self),
-		Members: lo.Map(g.Roster.Latest(sampleSize, now), func(m roster.Member, _ int) *gossippb.Member { return encodeMember(m) }),
+		Members: lo.Map(g.Roster.Latest(sampleSize, now), func(m roster.Member, _ int) *gossippb.Member { return encodeMember(m.WithoutAddress()) }),
 	}
 	for _, p := range g.Roster.Sample(fanOut, now) {
 		g.send(p.Address, d)
@@ -77,7 +79,7 @@
 
 // Broadcast sends a datagram to every live peer.
 func (g *Gossiper) Broadcast(d *gossippb.Datagram) {
-	d.Self = encodeMember(g.Roster.Self())
+	d.Self = encodeMember(g.Roster.Self().WithoutAddress())
 	for _, p := range g.Roster.Peers(time.Now()) {
 		g.send(p.Address, d)
 	}
@@ -122,7 +124,7 @@
 	}
 	from := decodeMember(d.GetSelf())
 	if g.Roster.News(from) {
-		g.send(from.Address, &gossippb.Datagram{Self: encodeMember(g.Roster.Self())})
+		g.send(from.Address, g.welcome())
 	}
 	ms := lo.Map(d.GetMembers(), func(m *gossippb.Member, _ int) roster.Member { return decodeMember(m) })
 	g.Roster.Merge(append(ms, from), time.Now())
@@ -131,6 +133,15 @@
 	}
 }
 
+// welcome tells a daemon that has just started of all members, with their addresses.
+func (g *Gossiper) welcome() *gossippb.Datagram {
+	d := &gossippb.Datagram{Self: encodeMember(g.Roster.Self())}
+	for _, m := range g.Roster.Latest(welcomeSize, time.Now()) {
+		d.Members = append(d.Members, encodeMember(m))
+	}
+	return d
+}
+
 func encodeMember(m roster.Member) *gossippb.Member {
 	return &gossippb.Member{
 		Name: m.Name, Address: m.Address, Copies: m.Copies, AvailabilityZone: m.AvailabilityZone,
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -15,7 +15,7 @@
 	AliveFor = 2500 * time.Millisecond
 	// freshMembers is the number of members whose beats arrive anew within AliveFor; among more of them each counts
 	// longer in proportion, since a datagram tells of a bounded number.
-	freshMembers = 48
+	freshMembers = 24
 	// forgetAfter is how long a silent member is kept, so that old beats of it are not taken for news.
 	forgetAfter = time.Minute
 	// maxMembers bounds the memory of a roster; the goal is 450 daemons.
@@ -44,6 +44,12 @@
 	return m.Beat > o.Beat
 }
 
+// WithoutAddress returns the member as those are told of it that know its addresses.
+func (m Member) WithoutAddress() Member {
+	m.Address, m.Copies, m.AvailabilityZone = "", "", ""
+	return m
+}
+
 type sighting struct {
 	member Member
 	at     time.Time
@@ -92,6 +98,13 @@
 		if m.Name == r.self.Name || ok && !m.newer(old.member) || !ok && len(r.known) >= maxMembers {
 			continue
 		}
+		if m.Address == "" {
+			// Only its own datagrams, and a welcome, tell the addresses of a new start.
+			if !ok || m.Incarnation != old.member.Incarnation {
+				continue
+			}
+			m.Address, m.Copies, m.AvailabilityZone = old.member.Address, old.member.Copies, old.member.AvailabilityZone
+		}
 		r.known[m.Name] = sighting{member: m, at: now}
 	}
 	for name, s := range r.known {
@@ -106,7 +119,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old, ok := r.known[m.Name]
-	return !ok || m.Incarnation > old.member.Incarnation
+	return m.Address != "" && (!ok || m.Incarnation > old.member.Incarnation)
+}
+
+// Find returns what is known of a daemon.
+func (r *Roster) Find(name string) (Member, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.known[name]
+	return s.member, ok
 }
 
 // Peers returns the other daemons that are alive and not leaving, in the order of their names.
