--- a/internal/choice/book.go
+++ b/internal/choice/book.go
@@ -27,7 +27,7 @@
 	hintPenalty = 0.5
 	// remotePenalty is the share of a route's usual time by which a target in another availability zone is taken to be
 	// later: two hops of 1 to 1.4 ms of some 10, and bytes between zones are dear.
-	remotePenalty = 0.3
+	remotePenalty = 0.8
 	// spread is the random share by which expectations differ, so that daemons do not move in step.
 	spread = 0.15
 	// defaultSlots is taken for a target that does not state its slots.
