--- a/internal/choice/book.go
+++ b/internal/choice/book.go
@@ -20,6 +20,14 @@
 	// unreachableFor is how long a target that did not accept a connection is avoided: two heartbeats,
 	// by when the platform has published its end or its new start.
 	unreachableFor = 2500 * time.Millisecond
+	// silentAfter is longer than a target's pause of 200 ms; silentPatience is the same for calls that last long anyway.
+	silentAfter    = 250 * time.Millisecond
+	silentPatience = 4
+	// firstApart and maxApart bound how long a silent target is set apart before it is tried again; maxSilences
+	// is when the one has grown to the other.
+	firstApart  = 250 * time.Millisecond
+	maxApart    = 2 * time.Second
+	maxSilences = 3
 	// failurePenalty is the share of a route's usual time, per recent failure, by which a target is taken to be later.
 	failurePenalty = 3
 	// hintPenalty is the share of a route's usual time by which a target is taken to be later that one peer, and no
@@ -82,26 +90,31 @@
 	return b.usually(c).median
 }
 
-// Down reports whether a target did not accept a connection of late.
-func (b *Book) Down(target string, now time.Time) bool {
+// Down reports whether a target did not accept a connection of late, left calls unanswered or is gone.
+func (b *Book) Down(t inventory.Target, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.records[target]
-	return r != nil && now.Before(r.downUntil)
+	return !b.up(t, now)
 }
 
-// Up returns the targets that accepted connections of late.
-func (b *Book) Up(targets []inventory.Target, now time.Time) []inventory.Target {
+// Candidates returns the targets that may answer: those that are up, or where there are none those that may be up again.
+// The result may be the slice it was given.
+func (b *Book) Candidates(targets []inventory.Target, now time.Time) []inventory.Target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	down := func(t inventory.Target, _ int) bool {
-		r := b.records[t.ID]
-		return r != nil && now.Before(r.downUntil)
-	}
-	if !lo.ContainsBy(targets, func(t inventory.Target) bool { return down(t, 0) }) {
+	if lo.EveryBy(targets, func(t inventory.Target) bool { return b.up(t, now) }) {
 		return targets
 	}
-	return lo.Reject(targets, down)
+	up := lo.Filter(targets, func(t inventory.Target, _ int) bool { return b.up(t, now) })
+	if len(up) > 0 {
+		return up
+	}
+	return lo.Reject(targets, func(t inventory.Target, _ int) bool { return b.record(t).gone })
+}
+
+func (b *Book) up(t inventory.Target, now time.Time) bool {
+	r := b.records[t.ID]
+	return r == nil || !r.tells(t) || !r.gone && !now.Before(r.downUntil)
 }
 
 func (b *Book) usually(c Class) *usual {
@@ -118,11 +131,11 @@
 
 func (b *Book) record(t inventory.Target) *record {
 	r := b.records[t.ID]
-	if r == nil {
+	if r == nil || !r.tells(t) {
 		if b.records == nil {
 			b.records = map[string]*record{}
 		}
-		r = &record{calls: map[*Ticket]struct{}{}}
+		r = &record{address: t.Address, born: t.Born, calls: map[*Ticket]struct{}{}}
 		b.records[t.ID] = r
 	}
 	r.slots = t.Slots
@@ -206,12 +219,14 @@
 	defer k.book.mu.Unlock()
 	delete(k.record.calls, k)
 	if cancelled {
+		k.silent(now)
 		return
 	}
 	switch x := result.(type) {
 	case targetcall.Answered:
 		k.answered(x, now)
 	case targetcall.Refused:
+		k.record.gone = k.record.gone || x.Elsewhere
 		k.record.fullUntil = now.Add(fullFor)
 		k.noteLoad(x.Load, now)
 	case targetcall.NotSent:
@@ -230,12 +245,23 @@
 		return
 	}
 	k.record.stalls = nil
+	k.record.silences = 0
 	took := now.Sub(k.begun)
 	u := k.book.usually(k.class)
 	k.record.addRatio(float64(took)/(float64(u.median)*(1+k.ahead)), now)
 	u.add(took)
 }
 
+// silent sets a target apart that left a call unanswered for longer than a pause lasts; each further time for longer.
+func (k *Ticket) silent(now time.Time) {
+	if now.Sub(k.begun) < max(silentAfter, silentPatience*k.patience) {
+		return
+	}
+	apart := min(firstApart<<k.record.silences, maxApart)
+	k.record.silences = min(k.record.silences+1, maxSilences)
+	k.record.downUntil = now.Add(apart)
+}
+
 func (k *Ticket) noteLoad(l targetcall.Load, now time.Time) {
 	if l.Known {
 		k.record.load = l
--- a/internal/choice/book_test.go
+++ b/internal/choice/book_test.go
@@ -127,12 +127,49 @@
 	synctest.Test(t, func(t *testing.T) {
 		k := &choice.Book{}
 		both := []inventory.Target{a, b}
-		require.Equal(t, both, k.Up(both, time.Now()))
+		require.Equal(t, both, k.Candidates(both, time.Now()))
 		k.Begin(class, a, time.Now()).End(targetcall.NotSent{Down: true}, false, time.Now())
-		require.True(t, k.Down("a", time.Now()))
-		require.Equal(t, []inventory.Target{b}, k.Up(both, time.Now()))
+		require.True(t, k.Down(a, time.Now()))
+		require.Equal(t, []inventory.Target{b}, k.Candidates(both, time.Now()))
+		require.Equal(t, []inventory.Target{a}, k.Candidates([]inventory.Target{a}, time.Now()), "where there is no other")
 		time.Sleep(3 * time.Second)
-		require.False(t, k.Down("a", time.Now()))
+		require.False(t, k.Down(a, time.Now()))
+	})
+}
+
+// The pattern: a target has crashed without closing its connections, and its entry is still published.
+func TestSilentTargetIsTriedLessAndLessOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := &choice.Book{}
+		both := []inventory.Target{a, b}
+		tries := 0
+		for begun := time.Now(); time.Since(begun) < 10*time.Second; time.Sleep(20 * time.Millisecond) {
+			if len(k.Candidates(both, time.Now())) == 1 {
+				continue
+			}
+			ticket := k.Begin(class, a, time.Now())
+			time.Sleep(300 * time.Millisecond)
+			ticket.End(targetcall.Unknown{}, true, time.Now())
+			tries++
+		}
+		require.LessOrEqual(t, tries, 9)
+		answer(k, a, 10*time.Millisecond, targetcall.Load{})
+		time.Sleep(2 * time.Second)
+		require.Equal(t, both, k.Candidates(both, time.Now()))
+	})
+}
+
+// The pattern: a target has ended and its address went to another service.
+func TestTargetWhoseAddressWasReusedIsNeverTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := &choice.Book{}
+		k.Begin(class, a, time.Now()).End(targetcall.Refused{Elsewhere: true}, false, time.Now())
+		time.Sleep(time.Minute)
+		require.Empty(t, k.Candidates([]inventory.Target{a}, time.Now()))
+		require.True(t, k.Down(a, time.Now()))
+		again := a
+		again.Born = 5
+		require.Equal(t, []inventory.Target{again}, k.Candidates([]inventory.Target{again}, time.Now()), "a new start under the same id")
 	})
 }
 
@@ -141,7 +178,7 @@
 		k := &choice.Book{}
 		before := k.Usual(class)
 		ticket := k.Begin(class, a, time.Now())
-		time.Sleep(time.Second)
+		time.Sleep(200 * time.Millisecond)
 		ticket.End(targetcall.Unknown{}, true, time.Now())
 		require.Equal(t, before, k.Usual(class))
 		require.InDelta(t, 0.5, shareOfA(k), 0.2)
@@ -152,7 +189,7 @@
 	k := &choice.Book{}
 	k.Begin(class, a, time.Now()).End(targetcall.NotSent{Down: true}, false, time.Now())
 	k.Keep(func(string) bool { return false })
-	require.False(t, k.Down("a", time.Now()))
+	require.False(t, k.Down(a, time.Now()))
 }
 
 func TestPickOfNoneIsNone(t *testing.T) {
--- a/internal/choice/record.go
+++ b/internal/choice/record.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
 )
 
@@ -28,6 +29,10 @@
 
 // record is what is known of one target.
 type record struct {
+	// address and born tell the start of the target that the record is about.
+	address string
+	born    int64
+
 	slots  int
 	calls  map[*Ticket]struct{}
 	ratios []float64
@@ -40,10 +45,19 @@
 	failedAt  time.Time
 	fullUntil time.Time
 	downUntil time.Time
+	// gone is set once another incarnation answered at the target's address.
+	gone bool
+	// silences counts the calls in a row that were left unanswered.
+	silences int
 	// stalls are the latest hints of peers that the target stopped answering, by peer.
 	stalls map[string]time.Time
 }
 
+// tells reports whether the record is about this start of the target.
+func (r *record) tells(t inventory.Target) bool {
+	return r.address == t.Address && r.born == t.Born
+}
+
 func (r *record) addRatio(ratio float64, now time.Time) {
 	r.ratios = append(r.ratios, min(ratio, maxSlowness))
 	if len(r.ratios) > samples {
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -23,14 +23,22 @@
 		d.guard.Broken(t.ID, crashguard.Loss{Fingerprint: crashguard.Fingerprint(r), Attempt: r.ID}, now)
 	case targetcall.NotSent:
 		if x.Down {
-			events.TargetDown.Log(d.o.Log, zap.String("target", t.ID), zap.String("service", t.Service), zap.Error(x.Err))
-			d.o.Pool.Forget(t.ID)
-			d.lost(t, now)
+			d.noteDown(t, x.Err, now)
 		}
 	case targetcall.Refused:
 	}
 }
 
+// noteDown acts on a target that did not accept a connection, once in a while for each target.
+func (d *Daemon) noteDown(t inventory.Target, err error, now time.Time) {
+	if !d.downs.Due(t.ID, now) {
+		return
+	}
+	events.TargetDown.Log(d.o.Log, zap.String("target", t.ID), zap.String("service", t.Service), zap.Error(err))
+	d.o.Pool.Forget(t.ID)
+	d.lost(t, now)
+}
+
 // lost notes that a target has ended, and tells peers of the requests that it ran then.
 func (d *Daemon) lost(t inventory.Target, now time.Time) {
 	losses := d.guard.Lost(t.ID, now)
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossip"
+	"github.com/knapweedpoint/knapweedpoint/internal/pace"
 	"github.com/knapweedpoint/knapweedpoint/internal/published"
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
 	"github.com/knapweedpoint/knapweedpoint/internal/stallhint"
@@ -43,6 +44,8 @@
 	housekeep *housekeeper
 	hints     *stallhint.Teller
 	guard     *crashguard.Guard
+	// downs bounds what is logged and done about targets that do not accept connections.
+	downs pace.Limiter
 
 	group errgroup.Group
 	// sends outlast the requests that made them; nothing waits for them at the end.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -54,7 +54,7 @@
 func (f *Forwarder) Reachable(service string) bool {
 	now := time.Now()
 	for _, t := range f.Gate.Allowed(f.Inventory().Of(service), now) {
-		if !f.Book.Down(t.ID, now) {
+		if !f.Book.Down(t, now) {
 			return true
 		}
 	}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -115,11 +115,7 @@
 	if !again && len(r.tried) > 0 {
 		open = lo.Reject(open, func(t inventory.Target, _ int) bool { return lo.Contains(r.tried, t.ID) })
 	}
-	up := f.Book.Up(open, now)
-	if len(up) > 0 {
-		open = up
-	}
-	return f.Book.Pick(r.job.class(), open, now)
+	return f.Book.Pick(r.job.class(), f.Book.Candidates(open, now), now)
 }
 
 func (r *run) send(t inventory.Target, now time.Time) {
@@ -223,7 +219,7 @@
 		return
 	}
 	c, ok := r.pick(false, now)
-	if !ok || c.Expected > now.Sub(late.begun)*2 || f.Book.Down(c.Target.ID, now) {
+	if !ok || c.Expected > now.Sub(late.begun)*2 || f.Book.Down(c.Target, now) {
 		return
 	}
 	if !f.Gate.Enter(c.Target, now) || !f.Budget.Spend(r.job.Service, now) {
--- /dev/null
+++ b/internal/pace/doc.go
@@ -0,0 +1,2 @@
+// Package pace bounds how often something is done about each of many keys.
+package pace
--- /dev/null
+++ b/internal/pace/limiter_test.go
@@ -0,0 +1,19 @@
+package pace_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/pace"
+)
+
+func TestDue(t *testing.T) {
+	now := time.Now()
+	var l pace.Limiter
+	require.True(t, l.Due("a", now))
+	require.False(t, l.Due("a", now.Add(time.Second)))
+	require.True(t, l.Due("b", now))
+	require.True(t, l.Due("a", now.Add(pace.DefaultEvery)))
+}
--- a/internal/stallhint/teller.go
+++ b/internal/stallhint/teller.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
+	"github.com/knapweedpoint/knapweedpoint/internal/pace"
 )
 
 const (
@@ -12,8 +13,6 @@
 	repeat = 30 * time.Millisecond
 	// maxPerSecond bounds one daemon's hints, each of some 60 bytes to every peer.
 	maxPerSecond = 40
-	// maxTargets bounds the memory of what was told last.
-	maxTargets = 4096
 )
 
 // Teller sends hints at a bounded rate; only Tell has to be set.
@@ -21,8 +20,8 @@
 	// Tell sends a datagram to every peer.
 	Tell func(d *gossippb.Datagram)
 
+	pace   pace.Limiter
 	mu     sync.Mutex
-	told   map[string]time.Time
 	second time.Time
 	count  int
 }
@@ -40,13 +39,10 @@
 	if now.Sub(t.second) >= time.Second {
 		t.second, t.count = now, 0
 	}
-	if last, ok := t.told[target]; ok && now.Sub(last) < repeat || t.count >= maxPerSecond {
+	t.pace.Every = repeat
+	if t.count >= maxPerSecond || !t.pace.Due(target, now) {
 		return false
 	}
-	if t.told == nil || len(t.told) >= maxTargets {
-		t.told = map[string]time.Time{}
-	}
-	t.told[target] = now
 	t.count++
 	return true
 }
