--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -170,7 +170,7 @@
 
 // Sample returns up to n live members at random.
 func (r *Roster) Sample(n int, now time.Time) []Member {
-	return r.take(n, now, func(out []sighting) {})
+	return r.take(n, now, func([]sighting) {})
 }
 
 // Latest returns up to n live members that were heard of last, so that news travels on before it is old.
--- /dev/null
+++ b/internal/storesync/difference.go
@@ -0,0 +1,49 @@
+package storesync
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/orders"
+	"github.com/knapweedpoint/knapweedpoint/internal/published"
+)
+
+// difference returns what leads from a state to a full read.
+func difference(before published.State, f Full) Delta {
+	d := Delta{Revision: f.Revision}
+	seen := map[string]bool{}
+	for _, t := range f.Targets {
+		seen[t.ID] = true
+		d.Targets = append(d.Targets, inventory.Put{Target: t})
+	}
+	for _, t := range before.Inventory.All() {
+		if !seen[t.ID] {
+			d.Targets = append(d.Targets, inventory.Gone{ID: t.ID, Revision: f.Revision})
+		}
+	}
+	if f.Orders.Table != nil {
+		d.Orders = append(d.Orders, orders.Configuration{Table: f.Orders.Table, Document: f.Orders.Document})
+	}
+	d.Orders = append(d.Orders, zoneChanges(before.Orders.ZonesOut, f.Orders.ZonesOut)...)
+	return d
+}
+
+func zoneChanges(before, after []string) []orders.Change {
+	var out []orders.Change
+	for _, z := range after {
+		if !slices.Contains(before, z) {
+			out = append(out, orders.ZoneOut{Name: z})
+		}
+	}
+	for _, z := range before {
+		if !slices.Contains(after, z) {
+			out = append(out, orders.ZoneBack{Name: z})
+		}
+	}
+	return out
+}
+
+func sortByRevision(changes []inventory.Changed) {
+	slices.SortStableFunc(changes, func(a, b inventory.Changed) int { return cmp.Compare(a.At(), b.At()) })
+}
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -1,24 +1,19 @@
 package storesync
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
-	"github.com/samber/lo"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
-	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
-	"github.com/knapweedpoint/knapweedpoint/internal/orders"
 	"github.com/knapweedpoint/knapweedpoint/internal/published"
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
 )
@@ -113,6 +108,8 @@
 
 // Doubt makes the daemon read at once, as after a time in which it did not run.
 func (s *Syncer) Doubt() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.o.Cell.Update(func(p *published.State) *published.State {
 		if p == nil {
 			return nil
@@ -286,212 +283,3 @@
 	defer s.mu.Unlock()
 	return !s.returned.IsZero() && now.Before(s.returned.Add(returnSpan))
 }
-
-// apply takes in a delta that ends at or after the copy's revision; own says that this daemon read it from the store.
-// The caller holds mu.
-func (s *Syncer) apply(d Delta, at time.Time, own bool) {
-	before := s.State()
-	if d.Revision < before.Inventory.Revision {
-		return
-	}
-	now := time.Now()
-	s.noteReturn(before.FreshAt, now)
-	s.dropOldRead(at)
-	d.Targets = lo.Filter(d.Targets, func(c inventory.Changed, _ int) bool { return c.At() > before.Inventory.Revision })
-	d.Targets = s.material(before.Inventory, d.Targets)
-	if own {
-		d.Targets = s.keepLapsed(d.Targets, now)
-	}
-	after := before
-	after.Inventory = before.Inventory.With(d.Revision, d.Targets)
-	for _, c := range d.Orders {
-		after.Orders = after.Orders.With(c)
-	}
-	after = after.WithFreshAt(at)
-	s.history.add(step{from: before.Inventory.Revision, to: d.Revision, changes: d.Targets, at: now})
-	s.set(before, after)
-}
-
-func (s *Syncer) set(before, after published.State) {
-	s.o.Cell.Set(&after)
-	if s.o.Changed != nil {
-		s.o.Changed(before, after)
-	}
-	s.nudge()
-}
-
-// dropOldRead ends a read that hangs while a peer has read since.
-func (s *Syncer) dropOldRead(freshAt time.Time) {
-	if s.cancelRead != nil && freshAt.Sub(s.reading) > callTimeout {
-		s.cancelRead()
-	}
-}
-
-// noteReturn remembers a read that follows a time in which nobody could read.
-func (s *Syncer) noteReturn(freshAt, now time.Time) {
-	if s.returned.IsZero() && freshAt.IsZero() || !freshAt.IsZero() && now.Sub(freshAt) > lapseGap {
-		s.returned = now
-	}
-}
-
-// keepLapsed holds removals back that may only be entries which expired while the store was away.
-func (s *Syncer) keepLapsed(changes []inventory.Changed, now time.Time) []inventory.Changed {
-	until := s.returned.Add(returnSpan)
-	if s.returned.IsZero() || !now.Before(until) {
-		return changes
-	}
-	out := make([]inventory.Changed, len(changes))
-	for i, c := range changes {
-		if g, gone := c.(inventory.Gone); gone {
-			g.KeepUntil = until
-			c = g
-		}
-		out[i] = c
-	}
-	return out
-}
-
-// material leaves out the changes that only renew an entry.
-func (s *Syncer) material(inv inventory.Inventory, changes []inventory.Changed) []inventory.Changed {
-	latest := map[string]inventory.Changed{}
-	var out []inventory.Changed
-	for _, c := range changes {
-		p, put := c.(inventory.Put)
-		if !put {
-			latest[c.(inventory.Gone).ID] = c
-			out = append(out, c)
-			continue
-		}
-		old, known := inv.Target(p.Target.ID)
-		_, touched := latest[p.Target.ID]
-		if last, ok := latest[p.Target.ID].(inventory.Put); ok {
-			old = last.Target
-		}
-		if known && !touched && p.Target.SameAs(old, coldSlack) && !inv.Lapsing(p.Target.ID) {
-			continue
-		}
-		latest[p.Target.ID] = c
-		out = append(out, c)
-	}
-	return out
-}
-
-// dropLapsed removes the targets that did not publish themselves again.
-func (s *Syncer) dropLapsed() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	before := s.State()
-	after := before
-	after.Inventory = before.Inventory.WithoutLapsed(time.Now())
-	if after.Inventory.Len() != before.Inventory.Len() {
-		s.set(before, after)
-	}
-}
-
-// Take applies a push of a peer, or asks for its whole copy when something in between is missing.
-func (s *Syncer) Take(from roster.Member, p *gossippb.Push) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	state := s.State()
-	if p.GetVersion() > state.Orders.Version() || p.GetFrom() > state.Inventory.Revision {
-		select {
-		case s.behind <- from:
-		default:
-		}
-		return
-	}
-	d := Delta{Revision: p.GetTo(), Targets: decodeChanges(p, now)}
-	d.Orders = zoneChanges(state.Orders.ZonesOut, p.GetZonesOut())
-	s.apply(d, now.Add(-span(p.GetAgeMillis())), false)
-}
-
-// Copy returns what a peer asks for.
-func (s *Syncer) Copy(have uint64) *gossippb.Copy {
-	return encodeCopy(s.State(), have, time.Now())
-}
-
-func (s *Syncer) fetch(ctx context.Context, from roster.Member) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	begun := time.Now()
-	c, err := s.o.Peers.Fetch(ctx, from, s.State().Orders.Version())
-	if err == nil {
-		err = s.takeCopy(c, begun)
-	}
-	if err != nil {
-		events.CopyFailed.Log(s.o.Log, zap.String("peer", from.Name), zap.Error(err))
-		return
-	}
-	events.CopyTaken.Log(s.o.Log, zap.String("peer", from.Name), zap.Uint64("revision", c.GetRevision()),
-		zap.Uint64("version", c.GetVersion()), zap.Uint32("ageMillis", c.GetAgeMillis()))
-}
-
-func (s *Syncer) takeCopy(c *gossippb.Copy, begun time.Time) error {
-	if c.GetRevision() == 0 {
-		return nil
-	}
-	var change []orders.Change
-	if doc := c.GetConfiguration(); len(doc) > 0 {
-		table, err := s.o.Source.Configuration(doc)
-		if err != nil {
-			return errorx.Decorate(err, "configuration of a peer")
-		}
-		change = append(change, orders.Configuration{Table: table, Document: doc})
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	before := s.State()
-	if c.GetRevision() < before.Inventory.Revision {
-		// The peer's targets are older than ours; only a newer configuration is of use.
-		s.apply(Delta{Revision: before.Inventory.Revision, Orders: change}, time.Time{}, false)
-		return nil
-	}
-	f := Full{Revision: c.GetRevision(), Orders: before.Orders.WithZonesOut(c.GetZonesOut())}
-	for _, t := range c.GetTargets() {
-		f.Targets = append(f.Targets, decodeTarget(t, begun))
-	}
-	d := difference(before, f)
-	d.Orders = append(d.Orders, change...)
-	s.apply(d, begun.Add(-span(c.GetAgeMillis())), false)
-	return nil
-}
-
-// difference returns what leads from a state to a full read.
-func difference(before published.State, f Full) Delta {
-	d := Delta{Revision: f.Revision}
-	seen := map[string]bool{}
-	for _, t := range f.Targets {
-		seen[t.ID] = true
-		d.Targets = append(d.Targets, inventory.Put{Target: t})
-	}
-	for _, t := range before.Inventory.All() {
-		if !seen[t.ID] {
-			d.Targets = append(d.Targets, inventory.Gone{ID: t.ID, Revision: f.Revision})
-		}
-	}
-	if f.Orders.Table != nil {
-		d.Orders = append(d.Orders, orders.Configuration{Table: f.Orders.Table, Document: f.Orders.Document})
-	}
-	d.Orders = append(d.Orders, zoneChanges(before.Orders.ZonesOut, f.Orders.ZonesOut)...)
-	return d
-}
-
-func zoneChanges(before, after []string) []orders.Change {
-	var out []orders.Change
-	for _, z := range after {
-		if !slices.Contains(before, z) {
-			out = append(out, orders.ZoneOut{Name: z})
-		}
-	}
-	for _, z := range before {
-		if !slices.Contains(after, z) {
-			out = append(out, orders.ZoneBack{Name: z})
-		}
-	}
-	return out
-}
-
-func sortByRevision(changes []inventory.Changed) {
-	slices.SortStableFunc(changes, func(a, b inventory.Changed) int { return cmp.Compare(a.At(), b.At()) })
-}
