--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -8,12 +8,15 @@
 
 	"github.com/knapweedpoint/knapweedpoint/internal/standcli"
 	"github.com/knapweedpoint/knapweedpoint/internal/standtarget"
+	"github.com/knapweedpoint/knapweedpoint/platform/command"
 )
 
 const exitCrashed = 3
 
 func main() {
-	err := standcli.New().Execute()
+	c := standcli.New()
+	c.AddCommand(command.NewSite())
+	err := c.Execute()
 	switch {
 	case err == nil:
 	case errorx.IsOfType(err, standtarget.Crashed):
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -24,8 +24,8 @@
 	firstConfiguration = 250 * time.Millisecond
 	// configurationPoll is how often a waiting request looks for it.
 	configurationPoll = 5 * time.Millisecond
-	// retryCrashing is told to callers whose request crashes targets: the suspicion lasts for minutes.
-	retryCrashing = 10 * time.Minute
+	// retryCrashing is told to callers whose request crashes targets: a suspicion lasts that long.
+	retryCrashing = 2 * time.Minute
 	// defaultTimeout is for routes without a timeout, under callers without a deadline.
 	defaultTimeout = 30 * time.Second
 )
--- /dev/null
+++ b/internal/dispatch/dispatcher_test.go
@@ -0,0 +1,130 @@
+package dispatch_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
+	"github.com/knapweedpoint/knapweedpoint/internal/choice"
+	"github.com/knapweedpoint/knapweedpoint/internal/dispatch"
+	"github.com/knapweedpoint/knapweedpoint/internal/forward"
+	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/orders"
+	"github.com/knapweedpoint/knapweedpoint/internal/permission"
+	"github.com/knapweedpoint/knapweedpoint/internal/published"
+	"github.com/knapweedpoint/knapweedpoint/internal/retrybudget"
+	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
+	"github.com/knapweedpoint/knapweedpoint/internal/scatter"
+	"github.com/knapweedpoint/knapweedpoint/internal/split"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
+	"github.com/knapweedpoint/knapweedpoint/internal/testtarget"
+	"github.com/knapweedpoint/knapweedpoint/internal/workers"
+)
+
+type fixture struct {
+	dispatcher *dispatch.Dispatcher
+	cell       blackboard.Cell[published.State]
+	pool       workers.Pool
+}
+
+func newFixture(b testtarget.Behaviour) *fixture {
+	x := &fixture{}
+	state := func() published.State {
+		if p := x.cell.Get(); p != nil {
+			return *p
+		}
+		return published.State{}
+	}
+	f := &forward.Forwarder{
+		Sender: &testtarget.Sender{Behave: func(string, int) testtarget.Behaviour { return b }}, Book: &choice.Book{},
+		Gate: &permission.Gate{}, Budget: &retrybudget.Budget{}, Workers: &x.pool,
+		Inventory: func() inventory.Inventory { return state().Inventory },
+	}
+	x.dispatcher = &dispatch.Dispatcher{
+		State: state, Forwarder: f, Gatherer: &scatter.Gatherer{Runner: f}, Splits: &split.Picker{}, Margin: 10 * time.Millisecond,
+		Refuses: func(r targetcall.Request) bool { return r.Path == "/one/crashes" },
+	}
+	return x
+}
+
+// configure puts a table with one route of each kind in force.
+func (x *fixture) configure() {
+	route := func(prefix string, d routetable.Destination) routetable.Route {
+		return routetable.Route{Name: prefix, Host: "h", Prefix: prefix, Attempts: 1, Timeout: time.Second, Objective: 100 * time.Millisecond, Destination: d}
+	}
+	table := routetable.New(1, []routetable.Route{
+		route("/one/", routetable.Single{Service: "s"}),
+		route("/split/", routetable.Split{Parts: []routetable.Weighted{{Service: "s", Weight: 1}}}),
+		route("/nowhere/", routetable.Split{}),
+		route("/all/", routetable.Scatter{Shards: []string{"s"}, Greatest: 5, MinCoverage: 1}),
+	}, nil, routetable.Limits{})
+	x.cell.Set(&published.State{
+		Inventory: inventory.New(1, []inventory.Target{{ID: "t", Service: "s"}}),
+		Orders:    orders.Orders{Table: table},
+	})
+}
+
+func (x *fixture) ask(path string, deadline time.Duration) dispatch.Answer {
+	return x.dispatcher.Answer(context.Background(), dispatch.Question{
+		Request: targetcall.Request{ID: "r", Method: "GET", Host: "h", Path: path}, Deadline: deadline, Begun: time.Now(),
+	})
+}
+
+func TestAnswersByRoute(t *testing.T) {
+	unsigned := targetcall.Answered{Status: 500}
+	claims := targetcall.Answered{Status: 503, Signature: "s"}
+	for _, c := range []struct {
+		name   string
+		path   string
+		target testtarget.Behaviour
+		want   dispatch.Answer
+	}{
+		{"no route", "/other/1", testtarget.Behaviour{}, dispatch.NoRoute{}},
+		{"one service", "/one/1", testtarget.Behaviour{}, dispatch.Passed{Answer: testtarget.Success("t")}},
+		{"split", "/split/1", testtarget.Behaviour{}, dispatch.Passed{Answer: testtarget.Success("t")}},
+		{"split without weights", "/nowhere/1", testtarget.Behaviour{}, dispatch.NotRun{Reason: dispatch.ReasonNoService, RetryAfter: 500 * time.Millisecond}},
+		{"own failure with a signature", "/one/1", testtarget.Behaviour{Result: testtarget.Failure("t")}, dispatch.Passed{Answer: testtarget.Failure("t")}},
+		{"failure without a signature", "/one/1", testtarget.Behaviour{Result: unsigned}, dispatch.Broken{Reason: "targetFailed"}},
+		{"status that would say not run", "/one/1", testtarget.Behaviour{Result: claims}, dispatch.Broken{Reason: "targetFailed"}},
+		{"time is up", "/one/1", testtarget.Behaviour{After: time.Hour}, dispatch.Broken{Reason: forward.ReasonTimeout, Timeout: true}},
+		{"crashes its targets", "/one/crashes", testtarget.Behaviour{}, dispatch.NotRun{Reason: dispatch.ReasonCrashes, RetryAfter: 2 * time.Minute}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newFixture(c.target)
+				x.configure()
+				require.Equal(t, c.want, x.ask(c.path, 0))
+				time.Sleep(2 * time.Second)
+				x.pool.Close()
+			})
+		})
+	}
+}
+
+func TestAnswerComesBeforeTheCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newFixture(testtarget.Behaviour{After: time.Hour})
+		x.configure()
+		begun := time.Now()
+		x.ask("/one/1", 200*time.Millisecond)
+		require.Equal(t, 190*time.Millisecond, time.Since(begun))
+		time.Sleep(time.Second)
+		x.pool.Close()
+	})
+}
+
+func TestCallersWaitAMomentForTheFirstConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newFixture(testtarget.Behaviour{})
+		begun := time.Now()
+		require.Equal(t, dispatch.ReasonUnconfigured, x.ask("/one/1", 400*time.Millisecond).(dispatch.NotRun).Reason)
+		require.LessOrEqual(t, time.Since(begun), 105*time.Millisecond, "a quarter of the caller's time")
+		time.AfterFunc(30*time.Millisecond, x.configure)
+		require.IsType(t, dispatch.Passed{}, x.ask("/one/1", 0))
+		x.pool.Close()
+	})
+}
--- /dev/null
+++ b/internal/inventory/inventory_test.go
@@ -0,0 +1,56 @@
+package inventory_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+)
+
+func TestWithAppliesChangesInOrder(t *testing.T) {
+	first := inventory.New(5, []inventory.Target{{ID: "b", Service: "s"}, {ID: "a", Service: "s"}, {ID: "c", Service: "t"}})
+	next := first.With(9, []inventory.Changed{
+		inventory.Put{Target: inventory.Target{ID: "c", Service: "s", Revision: 6}},
+		inventory.Gone{ID: "a", Revision: 7},
+		inventory.Put{Target: inventory.Target{ID: "d", Service: "t", Revision: 8}},
+		inventory.Gone{ID: "d", Revision: 9},
+	})
+	require.Equal(t, uint64(9), next.Revision)
+	require.Len(t, next.Of("s"), 2)
+	require.Equal(t, "b", next.Of("s")[0].ID)
+	require.Equal(t, "c", next.Of("s")[1].ID)
+	require.Empty(t, next.Of("t"))
+	require.Len(t, first.Of("s"), 2, "values never change")
+	require.Equal(t, "a", first.Of("s")[0].ID)
+}
+
+func TestLapsedTargetsStayUntilTheirTimeIsUp(t *testing.T) {
+	now := time.Now()
+	inv := inventory.New(1, []inventory.Target{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}})
+	inv = inv.With(3, []inventory.Changed{
+		inventory.Gone{ID: "a", Revision: 2, KeepUntil: now.Add(time.Second)},
+		inventory.Gone{ID: "b", Revision: 3, KeepUntil: now.Add(time.Second)},
+		inventory.Gone{ID: "unknown", Revision: 3, KeepUntil: now.Add(time.Second)},
+	})
+	require.True(t, inv.Lapsing("a"))
+	require.Len(t, inv.WithoutLapsed(now).Of("s"), 2)
+	inv = inv.With(4, []inventory.Changed{inventory.Put{Target: inventory.Target{ID: "b", Service: "s", Revision: 4}}})
+	require.False(t, inv.Lapsing("b"))
+	inv = inv.WithoutLapsed(now.Add(time.Second))
+	require.Len(t, inv.Of("s"), 1)
+	require.Equal(t, "b", inv.Of("s")[0].ID)
+}
+
+func TestSameAsLeavesOutRevisionAndSmallShiftsOfColdness(t *testing.T) {
+	now := time.Now()
+	a := inventory.Target{ID: "a", Service: "s", Revision: 1, ColdUntil: now}
+	b := a.WithColdUntil(now.Add(300 * time.Millisecond))
+	b.Revision = 2
+	require.True(t, a.SameAs(b, 400*time.Millisecond))
+	require.False(t, a.SameAs(b, 200*time.Millisecond))
+	b.Draining = true
+	require.False(t, a.SameAs(b, 400*time.Millisecond))
+	require.Equal(t, now, a.WithColdUntil(now.Add(-time.Second)).ColdUntil)
+}
--- /dev/null
+++ b/internal/targetpool/pool_test.go
@@ -0,0 +1,86 @@
+package targetpool_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetpool"
+)
+
+var target = inventory.Target{ID: "a", Address: "10.0.0.1:80"}
+
+// newPool returns a pool over pipes and the number of connections it dialed.
+func newPool() (*targetpool.Pool, *int) {
+	dials := 0
+	return &targetpool.Pool{Dial: func(context.Context, string) (net.Conn, error) {
+		dials++
+		c, _ := net.Pipe()
+		return c, nil
+	}}, &dials
+}
+
+func take(t *testing.T, p *targetpool.Pool) *targetpool.Conn {
+	t.Helper()
+	c, err := p.Take(context.Background(), target)
+	require.NoError(t, err)
+	return c
+}
+
+func TestConnectionsAreUsedAgainWhileTheTargetKeepsThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, dials := newPool()
+		c := take(t, p)
+		require.False(t, c.Reused)
+		p.Give(c, 4*time.Second)
+		time.Sleep(3 * time.Second)
+		c = take(t, p)
+		require.True(t, c.Reused)
+		p.Give(c, 4*time.Second)
+		time.Sleep(5 * time.Second)
+		require.False(t, take(t, p).Reused, "idle for longer than the target keeps it")
+		require.Equal(t, 2, *dials)
+	})
+}
+
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	p, _ := newPool()
+	var cs []*targetpool.Conn
+	for range 3 * targetpool.DefaultKept {
+		cs = append(cs, take(t, p))
+	}
+	for _, c := range cs {
+		p.Give(c, 0)
+	}
+	require.Equal(t, targetpool.DefaultKept, p.Len())
+	p.Forget(target.ID)
+	require.Zero(t, p.Len())
+}
+
+func TestSweepClosesWhatIsOldOrUnknown(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		after time.Duration
+		known bool
+		want  int
+	}{{"fresh", time.Second, true, 1}, {"old", time.Minute, true, 0}, {"unknown", time.Second, false, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			p, _ := newPool()
+			p.Give(take(t, p), 0)
+			p.Sweep(time.Now().Add(c.after), func(string) bool { return c.known })
+			require.Equal(t, c.want, p.Len())
+		})
+	}
+}
+
+func TestDialErrorsAreReturned(t *testing.T) {
+	p := &targetpool.Pool{Dial: func(context.Context, string) (net.Conn, error) { return nil, errors.New("refused") }}
+	_, err := p.Take(context.Background(), target)
+	require.Error(t, err)
+}
