Removals right after a daemon's start are obeyed at once

A daemon that had just started, as after herd_kill, took its first read for the store's return and kept the targets of all removals of the next 2.5 s, and its pushes made every peer keep them too. Now only the first read after own failed reads keeps them, and a peer that was in touch keeps none. TestBoundsHoldWhateverHappensToTheReader (starts anew, all start anew) failed before.

--- a/internal/storesync/apply.go
+++ b/internal/storesync/apply.go
@@ -17,12 +17,19 @@
 		return
 	}
 	now := time.Now()
-	s.noteReturn(before.FreshAt, now)
+	away := !before.FreshAt.IsZero() && now.Sub(before.FreshAt) > lapseGap
 	s.dropOldRead(at)
 	d.Targets = lo.Filter(d.Targets, func(c inventory.Changed, _ int) bool { return c.At() > before.Inventory.Revision })
 	d.Targets = s.material(before.Inventory, d.Targets)
-	if own {
-		d.Targets = s.keepLapsed(d.Targets, now)
+	if away || before.FreshAt.IsZero() || own && s.lost {
+		s.returned = now
+	}
+	switch {
+	case own && s.lost && away:
+		d.Targets = keepLapsed(d.Targets, now.Add(returnSpan))
+	case !own && !away:
+		// This daemon was in touch all the while: what went is gone, whatever the sender had missed.
+		d.Targets = keepLapsed(d.Targets, time.Time{})
 	}
 	after := before
 	after.Inventory = before.Inventory.With(d.Revision, d.Targets)
@@ -49,19 +56,9 @@
 	}
 }
 
-// noteReturn remembers a read that follows a time in which nobody could read.
-func (s *Syncer) noteReturn(freshAt, now time.Time) {
-	if s.returned.IsZero() && freshAt.IsZero() || !freshAt.IsZero() && now.Sub(freshAt) > lapseGap {
-		s.returned = now
-	}
-}
-
-// keepLapsed holds removals back that may only be entries which expired while the store was away.
-func (s *Syncer) keepLapsed(changes []inventory.Changed, now time.Time) []inventory.Changed {
-	until := s.returned.Add(returnSpan)
-	if s.returned.IsZero() || !now.Before(until) {
-		return changes
-	}
+// keepLapsed sets until when the targets of removals are kept: those that a daemon hears of first after it could not
+// read may only be entries that expired while the store was away. The zero time keeps none.
+func keepLapsed(changes []inventory.Changed, until time.Time) []inventory.Changed {
 	out := make([]inventory.Changed, len(changes))
 	for i, c := range changes {
 		if g, gone := c.(inventory.Gone); gone {
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -78,17 +78,19 @@
 
 	mu      sync.Mutex
 	history history
-	// returned is when a read first succeeded after the store had been away.
+	// returned is when a daemon that knew nothing new, or nothing at all, heard of the store again; it sets the pace of reads.
 	returned time.Time
 	// reading is when the read under way began, cancelRead ends it.
 	reading    time.Time
 	cancelRead context.CancelFunc
 
+	// lost is set while reads fail.
+	lost bool
+
 	// Only readLoop uses the fields below.
 	nextTry time.Time
 	backoff time.Duration
 	timeout time.Duration
-	lost    bool
 	// tries counts failed reads.
 	tries int
 }
@@ -206,11 +208,11 @@
 		s.failed(err)
 		return
 	}
-	if s.lost {
-		s.lost = false
-		s.mu.Lock()
-		s.returned = time.Now()
-		s.mu.Unlock()
+	s.mu.Lock()
+	lost := s.lost
+	s.lost = false
+	s.mu.Unlock()
+	if lost {
 		events.StoreRegained.Log(s.o.Log, zap.Uint64("revision", s.State().Inventory.Revision))
 	}
 	s.timeout, s.backoff, s.nextTry = callTimeout, 0, time.Time{}
@@ -270,10 +272,13 @@
 }
 
 func (s *Syncer) noteLost(err error) {
-	if s.lost {
+	s.mu.Lock()
+	lost := s.lost
+	s.lost = true
+	s.mu.Unlock()
+	if lost {
 		return
 	}
-	s.lost = true
 	events.StoreLost.Log(s.o.Log, zap.Error(err), zap.Duration("age", time.Since(s.State().FreshAt)))
 }
 
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -176,12 +176,12 @@
 type fleet struct {
 	store   *store
 	syncers []*storesync.Syncer
-	cells   []*blackboard.Cell[published.State]
 	mu      sync.Mutex
 	cut     map[int]bool
 	group   errgroup.Group
 	cancel  []context.CancelFunc
 	end     context.CancelFunc
+	ctx     context.Context
 }
 
 type link struct {
@@ -189,6 +189,12 @@
 	self  int
 }
 
+func (f *fleet) at(i int) *storesync.Syncer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.syncers[i]
+}
+
 func (f *fleet) isCut(i int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -202,7 +208,8 @@
 }
 
 func (l link) Push(p *gossippb.Push) {
-	for i, s := range l.fleet.syncers {
+	for i := range daemonCount {
+		s := l.fleet.at(i)
 		if i == l.self || l.fleet.isCut(i) || l.fleet.isCut(l.self) {
 			continue
 		}
@@ -221,7 +228,7 @@
 		return nil, errDown
 	}
 	time.Sleep(peerTime)
-	return l.fleet.syncers[n].Copy(version), nil
+	return l.fleet.at(n).Copy(version), nil
 }
 
 // Rank is the daemon's own number: daemon 0 reads for all.
@@ -229,25 +236,41 @@
 
 func startFleet(s *store) *fleet {
 	ctx, end := context.WithCancel(context.Background())
-	f := &fleet{store: s, cut: map[int]bool{}, end: end}
+	f := &fleet{store: s, cut: map[int]bool{}, end: end, ctx: ctx}
 	for i := range daemonCount {
-		cell := &blackboard.Cell[published.State]{}
-		f.cells = append(f.cells, cell)
-		f.syncers = append(f.syncers, storesync.New(storesync.Options{
-			Source: reader{store: s, daemon: fmt.Sprint(i)}, Peers: link{fleet: f, self: i}, Cell: cell,
-			Bound: func() time.Duration { return drainBound }, FirstStart: true,
-		}))
+		f.syncers = append(f.syncers, f.newSyncer(i, true))
 	}
 	for _, y := range f.syncers {
-		own, cancel := context.WithCancel(ctx)
-		f.cancel = append(f.cancel, cancel)
-		f.group.Go(func() error { y.Run(own); return nil })
+		f.cancel = append(f.cancel, f.run(y))
 	}
 	f.group.Go(func() error { s.heartbeats(ctx); return nil })
 	time.Sleep(5 * time.Second)
 	return f
 }
 
+func (f *fleet) newSyncer(i int, firstStart bool) *storesync.Syncer {
+	return storesync.New(storesync.Options{
+		Source: reader{store: f.store, daemon: fmt.Sprint(i)}, Peers: link{fleet: f, self: i},
+		Cell:  &blackboard.Cell[published.State]{},
+		Bound: func() time.Duration { return drainBound }, FirstStart: firstStart,
+	})
+}
+
+func (f *fleet) run(y *storesync.Syncer) context.CancelFunc {
+	own, cancel := context.WithCancel(f.ctx)
+	f.group.Go(func() error { y.Run(own); return nil })
+	return cancel
+}
+
+// restart replaces a daemon by one that knows nothing.
+func (f *fleet) restart(i int) {
+	f.cancel[i]()
+	f.mu.Lock()
+	f.syncers[i] = f.newSyncer(i, false)
+	f.mu.Unlock()
+	f.cancel[i] = f.run(f.at(i))
+}
+
 func (f *fleet) close() {
 	f.end()
 	_ = f.group.Wait()
@@ -307,6 +330,20 @@
 			time.Sleep(20 * time.Second)
 			f.setCut(0, false)
 		}, nil},
+		{"starts anew", func(f *fleet) { f.restart(0); time.Sleep(100 * time.Millisecond) }, nil},
+		{"all start anew", func(f *fleet) {
+			for i := range daemonCount {
+				f.restart(i)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}, nil},
+		{"is back after a cut from store and peers", func(f *fleet) {
+			f.store.setDown("0", true)
+			f.setCut(0, true)
+			time.Sleep(8 * time.Second)
+			f.store.setDown("0", false)
+			f.setCut(0, false)
+		}, nil},
 		{"history forgotten", func(f *fleet) { f.store.mu.Lock(); f.store.oldest = f.store.revision + 1; f.store.mu.Unlock() }, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -317,9 +354,10 @@
 				f.store.put(inventory.Target{ID: "t0", Service: "s0", Slots: 2, Draining: true})
 				f.store.remove("t2")
 				f.store.order(func() { f.store.version = 2; f.store.zonesOut = []string{"b"} })
+				begun := time.Now()
 				f.within(t, drainBound, everyone(c.but...), drained("t0"))
-				f.within(t, drainBound, everyone(c.but...), drained("t2"))
-				f.within(t, drainBound, everyone(c.but...), func(s published.State) bool {
+				f.within(t, drainBound-time.Since(begun), everyone(c.but...), drained("t2"))
+				f.within(t, drainBound-time.Since(begun), everyone(c.but...), func(s published.State) bool {
 					return s.Orders.Version() == 2 && lo.Contains(s.Orders.ZonesOut, "b")
 				})
 			})
