--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -107,17 +107,16 @@
 		return nil, err
 	}
 	r := do.MustInvoke[*roster.Roster](i)
-	cell := do.MustInvoke[*blackboard.Cell[published.State]](i)
 	s := storesync.New(storesync.Options{
 		Source:     d.o.Source,
 		Peers:      peers{roster: r, gossiper: g, http: peercopy.NewHTTPClient()},
-		Cell:       cell,
+		Cell:       do.MustInvoke[*blackboard.Cell[published.State]](i),
 		Bound:      func() time.Duration { return d.Settings().Rules.DrainBound.Std() },
 		FirstStart: d.Settings().FirstStart,
 		Changed:    d.changed,
 		Log:        d.o.Log,
 	})
-	return &syncerParts{syncer: s, roster: r, gossiper: g, conn: g.Conn, cell: cell}, nil
+	return &syncerParts{syncer: s, roster: r, gossiper: g, conn: g.Conn}, nil
 }
 
 func (d *Daemon) newForwarder(i do.Injector) (*forward.Forwarder, error) {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -58,7 +58,6 @@
 	roster   *roster.Roster
 	gossiper *gossip.Gossiper
 	conn     net.PacketConn
-	cell     *blackboard.Cell[published.State]
 }
 
 // New returns a daemon that is assembled but not started.
--- a/internal/forward/job.go
+++ b/internal/forward/job.go
@@ -71,9 +71,6 @@
 	ReasonTimeout  = "timeout"
 	ReasonCaller   = "callerGone"
 	ReasonBroken   = "connectionBroken"
-	ReasonAttempts = "attemptsUsed"
-	ReasonBudget   = "retryBudgetUsed"
-	ReasonNotSent  = "targetsUnreachable"
 )
 
 // Trace is what was tried for a job, for the log.
