Read once more: cold rates derived once a version, parts resolved once, one span for suspicions

Found: the housekeeper sorted all service names and made a map of rates four times a second, now made with the table; each request and each change asked the injector for its part; the time told to callers of a crashing request stood beside the guard's own; the table's count of routes and list of names had no reader left; the comment on patience gave the share of an earlier factor. Behaviour is as before.

--- a/internal/choice/book.go
+++ b/internal/choice/book.go
@@ -13,7 +13,7 @@
 
 const (
 	// PatienceFactor times the usual duration is how long a call may take before its target counts as stalled
-	// and a second send is due; with work spread by a third, 1 in 50 calls takes longer.
+	// and a second send is due; with work spread by a third, some 1 in 20 calls takes longer.
 	PatienceFactor = 1.8
 	// fullFor is how long a target that refused a call is avoided: about one turn of its slots.
 	fullFor = 15 * time.Millisecond
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -18,8 +18,8 @@
 	exonerates = 5 * time.Second
 	// confirmWithin is how soon after a broken call its target must be seen lost: two heartbeats and a connection attempt.
 	confirmWithin = 3 * time.Second
-	// keepFor is how long a suspicion lasts after its latest loss; callers come again within seconds.
-	keepFor = 2 * time.Minute
+	// KeepFor is how long a suspicion lasts after its latest loss; callers come again within seconds.
+	KeepFor = 2 * time.Minute
 	// maxSuspects bounds the memory of a guard; at the bound the oldest suspicion is dropped.
 	maxSuspects = 4096
 )
@@ -112,7 +112,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.suspects[fingerprint]
-	return s != nil && len(s.attempts) >= RefuseAt && now.Sub(s.at) <= keepFor
+	return s != nil && len(s.attempts) >= RefuseAt && now.Sub(s.at) <= KeepFor
 }
 
 func (g *Guard) count(l Loss, now time.Time) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/crashguard"
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
 	"github.com/knapweedpoint/knapweedpoint/internal/published"
@@ -24,8 +25,6 @@
 	firstConfiguration = 250 * time.Millisecond
 	// configurationPoll is how often a waiting request looks for it.
 	configurationPoll = 5 * time.Millisecond
-	// retryCrashing is told to callers whose request crashes targets: a suspicion lasts that long.
-	retryCrashing = 2 * time.Minute
 	// defaultTimeout is for routes without a timeout, under callers without a deadline.
 	defaultTimeout = 30 * time.Second
 )
@@ -43,7 +42,7 @@
 	Forwarder *forward.Forwarder
 	Gatherer  *scatter.Gatherer
 	Splits    *split.Picker
-	// Margin returns what an answer takes on its way to the caller.
+	// Margin is what an answer takes on its way to the caller.
 	Margin time.Duration
 	Log    *zap.Logger
 	Scope  tally.Scope
@@ -64,7 +63,7 @@
 	}
 	e.route = route
 	if d.Refuses != nil && d.Refuses(q.Request) {
-		return d.end(e, NotRun{Reason: ReasonCrashes, RetryAfter: retryCrashing})
+		return d.end(e, NotRun{Reason: ReasonCrashes, RetryAfter: crashguard.KeepFor})
 	}
 	until := d.until(q, route)
 	switch x := route.Destination.(type) {
--- a/internal/dispatch/ending.go
+++ b/internal/dispatch/ending.go
@@ -6,10 +6,9 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/forward"
 	"github.com/knapweedpoint/knapweedpoint/internal/published"
 	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
-
-	"github.com/knapweedpoint/knapweedpoint/internal/forward"
 	"github.com/knapweedpoint/knapweedpoint/internal/scatter"
 )
 
--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -58,6 +58,7 @@
 	d.guard = do.MustInvoke[*crashguard.Guard](d.injector)
 	d.hints = &stallhint.Teller{Tell: syncer.gossiper.Broadcast}
 	d.forwarder = do.MustInvoke[*forward.Forwarder](d.injector)
+	d.dispatcher = do.MustInvoke[*dispatch.Dispatcher](d.injector)
 	d.housekeep = do.MustInvoke[*housekeeper](d.injector)
 	d.callers = d.o.NewCallers(d.Answer)
 	d.readiness = d.o.NewReadiness(d.Ready)
--- a/internal/entry/changes.go
+++ b/internal/entry/changes.go
@@ -4,15 +4,12 @@
 	"slices"
 	"time"
 
-	"github.com/samber/do/v2"
-	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/crashguard"
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
-	"github.com/knapweedpoint/knapweedpoint/internal/permission"
 	"github.com/knapweedpoint/knapweedpoint/internal/published"
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
 )
@@ -29,19 +26,10 @@
 	r := d.Settings().Rules
 	// A zone that is back may hold targets whose coldness is published with their next heartbeat and read within the drain bound.
 	coldUntil := time.Now().Add(2*r.Heartbeat.Std() + r.DrainBound.Std())
-	do.MustInvoke[*permission.Gate](d.injector).SetZonesOut(after.Orders.ZonesOut, coldUntil)
+	d.forwarder.Gate.SetZonesOut(after.Orders.ZonesOut, coldUntil)
 	d.logTargets(before.Inventory, after.Inventory)
 }
 
-// coldRates returns the requests per second that cold targets bear, by service.
-func (d *Daemon) coldRates() map[string]float64 {
-	table := d.State().Orders.Table
-	if table == nil {
-		return nil
-	}
-	return lo.SliceToMap(table.Names(), func(name string) (string, float64) { return name, table.Service(name).ColdRate })
-}
-
 // logTargets writes a line for each target that was published, changed or withdrawn.
 func (d *Daemon) logTargets(before, after inventory.Inventory) {
 	if before.Revision == 0 {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -35,15 +35,16 @@
 	settings blackboard.Cell[settings.Entry]
 	board    blackboard.Board
 
-	syncer    *syncerParts
-	forwarder *forward.Forwarder
-	callers   Callers
-	readiness Readiness
-	peers     *http.Server
-	metrics   *http.Server
-	housekeep *housekeeper
-	hints     *stallhint.Teller
-	guard     *crashguard.Guard
+	syncer     *syncerParts
+	forwarder  *forward.Forwarder
+	dispatcher *dispatch.Dispatcher
+	callers    Callers
+	readiness  Readiness
+	peers      *http.Server
+	metrics    *http.Server
+	housekeep  *housekeeper
+	hints      *stallhint.Teller
+	guard      *crashguard.Guard
 	// downs bounds what is logged and done about targets that do not accept connections.
 	downs pace.Limiter
 
@@ -83,7 +84,7 @@
 
 // Answer answers one request of a caller.
 func (d *Daemon) Answer(ctx context.Context, q dispatch.Question) dispatch.Answer {
-	return do.MustInvoke[*dispatch.Dispatcher](d.injector).Answer(ctx, q)
+	return d.dispatcher.Answer(ctx, q)
 }
 
 // Run serves until a signal to stop arrives and the requests under way have ended.
--- a/internal/entry/housekeeper.go
+++ b/internal/entry/housekeeper.go
@@ -70,7 +70,9 @@
 	names := h.roster.Names(now)
 	r := d.Settings().Rules
 	h.gate.SetMembers(d.Settings().Name, h.senders(now))
-	h.gate.SetRules(permission.Rules{Rates: d.coldRates(), Overshoot: r.ColdOvershoot, Slack: r.ColdSlack})
+	if table := d.State().Orders.Table; table != nil {
+		h.gate.SetRules(permission.Rules{Rates: table.ColdRates(), Overshoot: r.ColdOvershoot, Slack: r.ColdSlack})
+	}
 	rule := retrybudget.Rule{Ratio: r.RetryRatio, Slack: r.RetrySlack, Window: r.RetryWindow.Std()}
 	h.budget.SetRule(rule, 1/float64(max(len(names), leastMembers)))
 	if len(names) != h.members {
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -14,7 +14,7 @@
 	Limits   Limits
 	services map[string]Service
 	byHost   map[string][]Route
-	routes   int
+	cold     map[string]float64
 }
 
 // New returns a table of the given routes and services.
@@ -24,10 +24,11 @@
 		Limits:   limits,
 		services: make(map[string]Service, len(services)),
 		byHost:   map[string][]Route{},
-		routes:   len(routes),
+		cold:     make(map[string]float64, len(services)),
 	}
 	for _, s := range services {
 		t.services[s.Name] = s
+		t.cold[s.Name] = s.ColdRate
 	}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
@@ -54,18 +55,8 @@
 	return t.services[name]
 }
 
-// Names returns the names of all services, sorted.
-func (t *Table) Names() []string {
-	names := make([]string, 0, len(t.services))
-	for n := range t.services {
-		names = append(names, n)
-	}
-	slices.Sort(names)
-	return names
-}
-
-// Len returns the number of routes.
-func (t *Table) Len() int { return t.routes }
+// ColdRates returns the requests per second that cold targets bear, by service; the map must not be changed.
+func (t *Table) ColdRates() map[string]float64 { return t.cold }
 
 // bareHost drops a port and folds the case of a Host header.
 func bareHost(host string) string {
--- a/internal/storesync/apply.go
+++ b/internal/storesync/apply.go
@@ -20,7 +20,7 @@
 	away := !before.FreshAt.IsZero() && now.Sub(before.FreshAt) > lapseGap
 	s.dropOldRead(at)
 	d.Targets = lo.Filter(d.Targets, func(c inventory.Changed, _ int) bool { return c.At() > before.Inventory.Revision })
-	d.Targets = s.material(before.Inventory, d.Targets)
+	d.Targets = material(before.Inventory, d.Targets)
 	if away || before.FreshAt.IsZero() || own && s.lost {
 		s.returned = now
 	}
@@ -71,7 +71,7 @@
 }
 
 // material leaves out the changes that only renew an entry.
-func (s *Syncer) material(inv inventory.Inventory, changes []inventory.Changed) []inventory.Changed {
+func material(inv inventory.Inventory, changes []inventory.Changed) []inventory.Changed {
 	latest := map[string]inventory.Changed{}
 	var out []inventory.Changed
 	for _, c := range changes {
