Answers without end stop at a bound; one budget of unfinished bytes a daemon

Cause: heads had no bound (470 to 920 MB for one call of 1.5 s), a body 16 MiB for each of 20 shards, on VMs of 136 MB; and a buffer that grows by copying takes several times its bytes. Ruled out: a budget alone: with io.ReadAll the process still ended at a 16th of its memory read.

--- /dev/null
+++ b/internal/allowance/reader_test.go
@@ -0,0 +1,79 @@
+package allowance_test
+
+import (
+	"bytes"
+	"io"
+	"testing"
+	"testing/iotest"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/allowance"
+	"github.com/knapweedpoint/knapweedpoint/internal/intake"
+)
+
+func text(n int) []byte { return bytes.Repeat([]byte("0123456789abcdef"), n/16+1)[:n] }
+
+func TestReadAllReturnsWholeMessagesOnly(t *testing.T) {
+	for _, n := range []int{0, 1, 511, 512, 513, 4 << 10, 64<<10 - 1, 64 << 10, 64<<10 + 1, 300 << 10} {
+		for _, length := range []int64{-1, 0, int64(n), int64(n) + 7, 1 << 40} {
+			got, err := allowance.ReadAll(iotest.HalfReader(bytes.NewReader(text(n))), length)
+			require.NoError(t, err)
+			require.Equal(t, text(n), append([]byte{}, got...), "%d bytes, length %d", n, length)
+		}
+		broken := io.MultiReader(bytes.NewReader(text(n)), iotest.ErrReader(io.ErrUnexpectedEOF))
+		got, err := allowance.ReadAll(broken, -1)
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		require.Empty(t, got)
+	}
+}
+
+func TestReaderStopsAtItsAllowance(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		allowed, sent int
+		taken         int64
+		overlong      bool
+	}{
+		{name: "shorter", allowed: 100, sent: 99},
+		{name: "as long, and more may follow", allowed: 100, sent: 100, overlong: true},
+		{name: "longer", allowed: 100, sent: 1000, overlong: true},
+		{name: "short where the budget is used up", allowed: 1 << 20, sent: 32 << 10, taken: 1 << 16},
+		{name: "long where the budget is used up", allowed: 1 << 20, sent: 33 << 10, taken: 1 << 16, overlong: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			const memory = 1 << 20
+			budget := intake.New(memory)
+			require.True(t, budget.Take(min(c.taken, budget.Limit())))
+			used := budget.Used()
+			r := &allowance.Reader{From: bytes.NewReader(text(c.sent)), Budget: budget}
+			r.Allow("body", int64(c.allowed))
+			_, err := allowance.ReadAll(r, -1)
+			require.Equal(t, c.overlong, err != nil)
+			require.Equal(t, c.overlong, errorx.IsOfType(err, allowance.ErrOverlong))
+			r.Release()
+			require.Equal(t, used, budget.Used())
+		})
+	}
+}
+
+func TestNothingIsAllowedAtFirst(t *testing.T) {
+	r := &allowance.Reader{From: bytes.NewReader(text(10))}
+	_, err := allowance.ReadAll(r, 10)
+	require.True(t, errorx.IsOfType(err, allowance.ErrOverlong))
+}
+
+func FuzzReadAll(f *testing.F) {
+	f.Add([]byte("abc"), int64(2), int64(3))
+	f.Add(text(70<<10), int64(-1), int64(80<<10))
+	f.Fuzz(func(t *testing.T, message []byte, length, allowed int64) {
+		r := &allowance.Reader{From: bytes.NewReader(message)}
+		r.Allow("message", allowed)
+		got, err := allowance.ReadAll(r, length)
+		if err == nil {
+			require.Equal(t, message, append([]byte{}, got...))
+			require.Less(t, int64(len(message)), max(allowed, 1))
+		}
+	})
+}
--- /dev/null
+++ b/internal/boundedhttp/doc.go
@@ -0,0 +1,2 @@
+// Package boundedhttp bounds the answers that an HTTP client reads.
+package boundedhttp
--- /dev/null
+++ b/internal/boundedhttp/transport_test.go
@@ -0,0 +1,66 @@
+package boundedhttp_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/allowance"
+	"github.com/knapweedpoint/knapweedpoint/internal/boundedhttp"
+	"github.com/knapweedpoint/knapweedpoint/internal/intake"
+)
+
+const bound = 100 << 10
+
+func TestTransportBoundsBodies(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer http.HandlerFunc
+		want   int
+	}{
+		{"short", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 10)) }, 10},
+		{"as long as it may be", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, bound)) }, bound},
+		{"tells a length that is too long", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(bound+1))
+		}, -1},
+		{"without end", func(w http.ResponseWriter, _ *http.Request) {
+			for block := make([]byte, 4<<10); ; {
+				if _, err := w.Write(block); err != nil {
+					return
+				}
+			}
+		}, -1},
+		{"a head without end", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Long", string(make([]byte, 2*boundedhttp.MaxHead)))
+		}, -1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := httptest.NewServer(c.answer)
+			defer s.Close()
+			budget := intake.New(136 << 20)
+			base := &http.Transport{MaxResponseHeaderBytes: boundedhttp.MaxHead, DisableKeepAlives: true}
+			client := &http.Client{Transport: &boundedhttp.Transport{Base: base, Body: func() int64 { return bound }, Budget: budget}}
+			r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, s.URL, nil)
+			require.NoError(t, err)
+			answer, err := client.Do(r)
+			if err != nil {
+				require.Equal(t, -1, c.want)
+				return
+			}
+			body, err := allowance.ReadAll(answer.Body, answer.ContentLength)
+			require.NoError(t, answer.Body.Close())
+			require.Zero(t, budget.Used())
+			if c.want < 0 {
+				require.True(t, errorx.IsOfType(err, allowance.ErrOverlong))
+				return
+			}
+			require.NoError(t, err)
+			require.Len(t, body, c.want)
+		})
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
+	"github.com/knapweedpoint/knapweedpoint/internal/boundedhttp"
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/heartbeat"
 	"github.com/knapweedpoint/knapweedpoint/internal/membership"
@@ -89,7 +90,7 @@
 			events.ListenerFailed.Log(d.log, zap.String("address", x.address), zap.Error(err))
 			return errorx.ExternalError.Wrap(err, "listen on %s", x.address)
 		}
-		s := &http.Server{Handler: x.handler, ReadHeaderTimeout: headerTimeout}
+		s := &http.Server{Handler: x.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: boundedhttp.MaxHead}
 		d.servers = append(d.servers, s)
 		d.group.Go(func() error { return serve(s, l) })
 	}
--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -9,6 +9,7 @@
 	"github.com/samber/do/v2"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
+	"github.com/knapweedpoint/knapweedpoint/internal/boundedhttp"
 	"github.com/knapweedpoint/knapweedpoint/internal/choice"
 	"github.com/knapweedpoint/knapweedpoint/internal/crashguard"
 	"github.com/knapweedpoint/knapweedpoint/internal/delegate"
@@ -29,8 +30,8 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/storesync"
 )
 
-// headerTimeout bounds how long peers and operators may take to send a request's headers.
-const headerTimeout = 5 * time.Second
+// requestTimeout bounds how long peers and operators may take to send a request.
+const requestTimeout = 5 * time.Second
 
 // thousandths of a core are the unit in which peers are told of a VM's processor.
 const thousandths = 1000
@@ -71,11 +72,18 @@
 	d.housekeep = do.MustInvoke[*housekeeper](d.injector)
 	d.callers = d.o.NewCallers(d.Answer)
 	d.readiness = d.o.NewReadiness(d.Ready)
-	d.peers = &http.Server{Handler: peercopy.NewHandler(syncer.syncer.Copy), ReadHeaderTimeout: headerTimeout}
-	d.metrics = &http.Server{Handler: metrics.NewTextHandler(d.o.Reporter), ReadHeaderTimeout: headerTimeout}
+	d.peers = newServer(peercopy.NewHandler(syncer.syncer.Copy))
+	d.metrics = newServer(metrics.NewTextHandler(d.o.Reporter))
 	return nil
 }
 
+// newServer returns a server for peers or operators; their requests are short.
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: requestTimeout, ReadTimeout: requestTimeout, MaxHeaderBytes: boundedhttp.MaxHead,
+	}
+}
+
 func (d *Daemon) newRoster(do.Injector) (*roster.Roster, error) {
 	s := d.Settings()
 	return roster.New(roster.Member{
@@ -120,7 +128,7 @@
 	r := do.MustInvoke[*roster.Roster](i)
 	s := storesync.New(storesync.Options{
 		Source:     d.o.Source,
-		Peers:      peers{roster: r, gossiper: g, http: peercopy.NewHTTPClient()},
+		Peers:      peers{roster: r, gossiper: g, http: peercopy.NewHTTPClient(d.o.Intake)},
 		Cell:       do.MustInvoke[*blackboard.Cell[published.State]](i),
 		Bound:      func() time.Duration { return d.Settings().Rules.DrainBound.Std() },
 		FirstStart: d.Settings().FirstStart,
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/allowance"
 	"github.com/knapweedpoint/knapweedpoint/internal/crashguard"
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
@@ -20,6 +22,7 @@
 	case targetcall.Answered:
 		d.guard.Answered(crashguard.Fingerprint(r), now)
 	case targetcall.Unknown:
+		d.noteOverlong(t, x.Err, now)
 		d.guard.Broken(t.ID, crashguard.Loss{Fingerprint: crashguard.Fingerprint(r), Attempt: r.ID}, now)
 	case targetcall.NotSent:
 		if x.Down {
@@ -29,6 +32,13 @@
 	}
 }
 
+// noteOverlong logs an answer that was longer than it may be, once in a while for each target.
+func (d *Daemon) noteOverlong(t inventory.Target, err error, now time.Time) {
+	if errorx.IsOfType(err, allowance.ErrOverlong) && d.overlong.Due(t.ID, now) {
+		events.AnswerOverlong.Log(d.o.Log, zap.String("target", t.ID), zap.String("service", t.Service), zap.Error(err))
+	}
+}
+
 // noteDown acts on a target that did not accept a connection, once in a while for each target.
 func (d *Daemon) noteDown(t inventory.Target, err error, now time.Time) {
 	if !d.downs.Due(t.ID, now) {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -54,6 +54,8 @@
 	table blackboard.Cell[assignment.Table]
 	// downs bounds what is logged and done about targets that do not accept connections.
 	downs pace.Limiter
+	// overlong bounds what is logged about targets whose answers are too long.
+	overlong pace.Limiter
 
 	group errgroup.Group
 	// sends outlast the requests that made them; nothing waits for them at the end.
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/dispatch"
+	"github.com/knapweedpoint/knapweedpoint/internal/intake"
 	"github.com/knapweedpoint/knapweedpoint/internal/metrics"
 	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
 	"github.com/knapweedpoint/knapweedpoint/internal/storesync"
@@ -16,6 +17,9 @@
 	"github.com/knapweedpoint/knapweedpoint/pkg/settings"
 )
 
+// AnswerFunc answers one request of a caller.
+type AnswerFunc func(ctx context.Context, q dispatch.Question) dispatch.Answer
+
 // Callers is the interface to callers, in whatever protocol they speak.
 type Callers interface {
 	// Serve takes requests from the listener until Shutdown.
@@ -44,8 +48,10 @@
 	Source storesync.Source
 	Sender targetcall.Sender
 	Pool   *targetpool.Pool
+	// Intake bounds the bytes of unfinished messages.
+	Intake *intake.Budget
 	// NewCallers and NewReadiness make the interfaces that the daemon serves.
-	NewCallers   func(answer func(ctx context.Context, q dispatch.Question) dispatch.Answer) Callers
+	NewCallers   func(answer AnswerFunc) Callers
 	NewReadiness func(ready func() bool) Readiness
 	Scope        tally.Scope
 	Reporter     *metrics.Reporter
--- a/internal/events/event.go
+++ b/internal/events/event.go
@@ -64,6 +64,7 @@
 	TargetWithdrawn  = Event{821, "targetWithdrawn", Info}
 	TargetDown       = Event{822, "targetDown", Warn}
 	RequestCrashes   = Event{824, "requestCrashes", Error}
+	AnswerOverlong   = Event{825, "answerOverlong", Warn}
 	DatagramFailed   = Event{830, "datagramFailed", Warn}
 	DatagramOdd      = Event{831, "datagramOdd", Warn}
 	MembersChanged   = Event{832, "membersChanged", Info}
@@ -83,7 +84,7 @@
 		PeerUnreachable, PeerQueueFull, TargetCold, TargetWarm, TargetLost, TargetBroke,
 		RequestSuspect, RequestRefused, BookingUnknown, ListenerFailed,
 		RequestEnded, PartsEnded, HolderSilent, StoreLost, StoreRegained, StoreRead, CopyTaken, CopyFailed, EntryForeign, OrdersTaken,
-		TargetPublished, TargetWithdrawn, TargetDown, RequestCrashes,
+		TargetPublished, TargetWithdrawn, TargetDown, RequestCrashes, AnswerOverlong,
 		DatagramFailed, DatagramOdd, MembersChanged, ClockSuspended, SettingsReloaded, SettingsRefused,
 		LogLinesDropped, InterfaceFailed,
 	}
--- a/internal/peer/exchanger.go
+++ b/internal/peer/exchanger.go
@@ -10,6 +10,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/boundedhttp"
 	"github.com/knapweedpoint/knapweedpoint/internal/peerpb"
 )
 
@@ -31,7 +32,9 @@
 
 const (
 	connectionsPerPeer = 8
-	peerIdleTimeout    = 2 * time.Minute
+	// maxReply bounds one reply in bytes: the records of all shards that one relay looks after.
+	maxReply        = 16 << 20
+	peerIdleTimeout = 2 * time.Minute
 )
 
 // Client is the Exchanger over twirp; its zero value works.
@@ -60,11 +63,15 @@
 	defer c.mu.Unlock()
 	if c.clients == nil {
 		c.clients = map[string]peerpb.Peer{}
-		c.http = &http.Client{Transport: &http.Transport{
-			MaxConnsPerHost:     connectionsPerPeer,
-			MaxIdleConnsPerHost: connectionsPerPeer,
-			IdleConnTimeout:     peerIdleTimeout,
-			DisableCompression:  true,
+		c.http = &http.Client{Transport: &boundedhttp.Transport{
+			Base: &http.Transport{
+				MaxConnsPerHost:        connectionsPerPeer,
+				MaxIdleConnsPerHost:    connectionsPerPeer,
+				IdleConnTimeout:        peerIdleTimeout,
+				DisableCompression:     true,
+				MaxResponseHeaderBytes: boundedhttp.MaxHead,
+			},
+			Body: func() int64 { return maxReply },
 		}}
 	}
 	p, ok := c.clients[address]
--- a/internal/storesync/packed.go
+++ b/internal/storesync/packed.go
@@ -3,18 +3,18 @@
 import (
 	"bytes"
 	"compress/gzip"
-	"io"
 	"time"
 
 	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/allowance"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
 )
 
 const (
 	// maxCopy bounds a copy in bytes: 1,900 targets of 100 bytes, and a configuration of a megabyte at most.
-	maxCopy = 16 << 20
+	maxCopy = 8 << 20
 	// packedFor is how long one packed copy serves all that lack the same: the time over which daemons that hear of
 	// a change together ask.
 	packedFor = 500 * time.Millisecond
@@ -59,7 +59,9 @@
 	if err != nil {
 		return nil, errorx.IllegalFormat.Wrap(err, "copy of a peer")
 	}
-	data, err := io.ReadAll(io.LimitReader(r, maxCopy))
+	limited := &allowance.Reader{From: r}
+	limited.Allow("copy", maxCopy)
+	data, err := allowance.ReadAll(limited, -1)
 	if err != nil {
 		return nil, errorx.IllegalFormat.Wrap(err, "copy of a peer")
 	}
--- a/internal/targetpool/conn.go
+++ b/internal/targetpool/conn.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"time"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/allowance"
+	"github.com/knapweedpoint/knapweedpoint/internal/intake"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 )
 
@@ -15,8 +17,10 @@
 // Conn is one connection to one target.
 type Conn struct {
 	net.Conn
-	// Reader reads what the target sends.
+	// Reader reads what the target sends, as far as Allowance goes.
 	Reader *bufio.Reader
+	// Allowance bounds the answer that is read.
+	Allowance *allowance.Reader
 	// Reused is set when the connection has carried a call before.
 	Reused  bool
 	target  string
@@ -24,8 +28,9 @@
 	until   time.Time
 }
 
-func newConn(c net.Conn, t inventory.Target) *Conn {
-	return &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBuffer), target: t.ID, service: t.Service}
+func newConn(c net.Conn, t inventory.Target, budget *intake.Budget) *Conn {
+	a := &allowance.Reader{From: c, Budget: budget}
+	return &Conn{Conn: c, Reader: bufio.NewReaderSize(a, readBuffer), Allowance: a, target: t.ID, service: t.Service}
 }
 
 // quiet reports whether nothing has arrived and the target has not closed the connection.
--- a/internal/targetpool/pool.go
+++ b/internal/targetpool/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/intake"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 )
 
@@ -25,6 +26,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Dialed is called with each new connection, if set.
 	Dialed func()
+	// Budget is drawn on for long answers; nil has no bound.
+	Budget *intake.Budget
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
@@ -86,7 +89,7 @@
 	if p.Dialed != nil {
 		p.Dialed()
 	}
-	return newConn(c, t), nil
+	return newConn(c, t, p.Budget), nil
 }
 
 // Give takes a connection back after a whole answer; idle is how long the target keeps it, 0 when it did not say.
--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -30,6 +30,8 @@
 	AvailabilityZone string `json:"availabilityZone"`
 	// Processor is the VM's share of a core; 0 when it is not known.
 	Processor float64 `json:"processor,omitempty"`
+	// Memory is the VM's memory in MiB; 0 when it is not known.
+	Memory int `json:"memory,omitempty"`
 	// Callers, Readiness, Peers and Metrics are the addresses to listen on; Gossip takes datagrams.
 	Callers   string `json:"callers"`
 	Readiness string `json:"readiness"`
@@ -92,6 +94,7 @@
 	v.name("$.name", e.Name)
 	v.name("$.availabilityZone", e.AvailabilityZone)
 	v.positive("$.processor", e.Processor)
+	v.positive("$.memory", float64(e.Memory))
 	v.positive("$.holdersFrom", float64(e.HoldersFrom))
 	v.address("$.callers", e.Callers)
 	v.address("$.readiness", e.Readiness)
--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -16,8 +16,10 @@
 const (
 	// MaxReplyBytes bounds one reply; a longer one is Malformed.
 	MaxReplyBytes = 16 << 20
-	dialTimeout   = 250 * time.Millisecond
-	idleTimeout   = 5 * time.Minute
+	// maxHeadBytes bounds the headers of one reply; targets send some hundred bytes.
+	maxHeadBytes = 64 << 10
+	dialTimeout  = 250 * time.Millisecond
+	idleTimeout  = 5 * time.Minute
 )
 
 // Client is a Runner over HTTP; its zero value works.
@@ -61,11 +63,12 @@
 		n = 4
 	}
 	h := &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxConnsPerHost:     n,
-		MaxIdleConnsPerHost: n,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxConnsPerHost:        n,
+		MaxIdleConnsPerHost:    n,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 	if c.client.CompareAndSwap(nil, h) {
 		return h
