Shards are gathered in zones that have their targets; only what is merged there crosses

Change: home.Split sends each shard to its own zone or to as few others as hold it; assignment has a ring of holders a zone, with a stand-in from another zone; small fleets ask one daemon there. Tests: TestWhoGathersWhere, TestALostZoneMovesOnlyItsShards.

--- a/internal/delegate/batch.go
+++ b/internal/delegate/batch.go
@@ -36,6 +36,7 @@
 // batch is one search under way.
 type batch struct {
 	delegate *Delegate
+	plan     plan
 	search   scatter.Search
 	jobs     []forward.Job
 	request  *gossippb.Request
@@ -70,9 +71,9 @@
 	echoing time.Time
 }
 
-func newBatch(d *Delegate, s scatter.Search, jobs []forward.Job) *batch {
+func newBatch(d *Delegate, s scatter.Search, jobs []forward.Job, p plan) *batch {
 	return &batch{
-		delegate: d, search: s, jobs: jobs, request: partswire.EncodeRequest(s.Request),
+		delegate: d, plan: p, search: s, jobs: jobs, request: partswire.EncodeRequest(s.Request),
 		replies: make(chan *gossippb.PartsReply, maxReplies), timer: time.NewTimer(time.Hour),
 	}
 }
@@ -212,7 +213,7 @@
 	b.close(g)
 	open := b.openPlaces(g)
 	g.open = nil
-	next, ok := b.delegate.standIn(b.jobs[open[0]].Service, g.holder, now)
+	next, ok := b.delegate.standIn(b.plan, open[0], b.jobs[open[0]].Service, g.holder, now)
 	events.HolderSilent.Log(b.delegate.Log, zap.String("request", b.search.Request.ID), zap.String("peer", g.holder),
 		zap.String("next", next), zap.Int("shards", len(open)), zap.Bool("again", g.standsIn), zap.Bool("granted", g.granted))
 	// The silent holder may have sent each of them once.
@@ -305,7 +306,7 @@
 	b.delegate.forget(g.id)
 	places := g.places
 	g.open = nil
-	next, ok := b.delegate.standIn(b.jobs[places[0]].Service, g.holder, now)
+	next, ok := b.delegate.standIn(b.plan, places[0], b.jobs[places[0]].Service, g.holder, now)
 	if !ok || g.refusals >= maxRefusals {
 		b.reject(places)
 		return
--- a/internal/delegate/delegate.go
+++ b/internal/delegate/delegate.go
@@ -43,13 +43,14 @@
 
 // Delegate is a scatter.Runner that lets holders ask the shards; all fields but Scope and Log are needed.
 type Delegate struct {
-	// Name is this daemon's name.
-	Name   string
-	Direct scatter.Direct
-	Table  *blackboard.Cell[assignment.Table]
-	Peers  Peers
-	Scope  tally.Scope
-	Log    *zap.Logger
+	// Name is this daemon's name, AvailabilityZone the zone that it stands in.
+	Name             string
+	AvailabilityZone string
+	Direct           scatter.Direct
+	Table            *blackboard.Cell[assignment.Table]
+	Peers            Peers
+	Scope            tally.Scope
+	Log              *zap.Logger
 
 	mu sync.Mutex
 	// waiting are the searches under way, by the ids of their calls.
@@ -60,13 +61,13 @@
 
 // Start hands the jobs to the holders of their shards, or where there are none sends them from here.
 func (d *Delegate) Start(s scatter.Search, jobs []forward.Job) scatter.Batch {
-	table := d.Table.Get()
-	if !table.Serves(len(jobs)) || !s.Route.Repeatable || len(s.Request.Body) > maxBody {
+	p, ok := d.plan(s, jobs)
+	if !ok {
 		return d.Direct.Start(s, jobs)
 	}
-	b := newBatch(d, s, jobs)
+	b := newBatch(d, s, jobs, p)
 	now := time.Now()
-	for holder, indexes := range d.group(table, jobs, now) {
+	for holder, indexes := range d.group(p, jobs, now) {
 		b.begin(holder, indexes, now)
 	}
 	return b
@@ -91,18 +92,24 @@
 	}
 }
 
+// part names the shards of a search that have the same holders.
+type part struct {
+	zone   string
+	bucket int
+}
+
 // group returns the places of the jobs by the daemon that is to be asked first.
-func (d *Delegate) group(table *assignment.Table, jobs []forward.Job, now time.Time) map[string][]int {
+func (d *Delegate) group(p plan, jobs []forward.Job, now time.Time) map[string][]int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	first := map[int]string{}
+	first := map[part]string{}
 	out := map[string][]int{}
 	for i, j := range jobs {
-		bucket := assignment.Bucket(j.Service)
-		if _, ok := first[bucket]; !ok {
-			first[bucket] = d.choose(table.Holders(j.Service, d.Name), now)
+		k := part{zone: p.zones[i], bucket: assignment.Bucket(j.Service)}
+		if _, ok := first[k]; !ok {
+			first[k] = d.choose(p.holders(i, j.Service), now)
 		}
-		out[first[bucket]] = append(out[first[bucket]], i)
+		out[first[k]] = append(out[first[k]], i)
 	}
 	return out
 }
@@ -117,10 +124,10 @@
 }
 
 // standIn returns the daemon to ask after another one.
-func (d *Delegate) standIn(shard, after string, now time.Time) (string, bool) {
+func (d *Delegate) standIn(p plan, place int, shard, after string, now time.Time) (string, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	others := lo.Without(d.Table.Get().Holders(shard, d.Name), after)
+	others := lo.Without(p.holders(place, shard), after)
 	if len(others) == 0 {
 		return "", false
 	}
--- a/internal/delegate/delegate_test.go
+++ b/internal/delegate/delegate_test.go
@@ -84,7 +84,7 @@
 	}
 	f.inventory = inventory.New(1, targets)
 	members := lo.Times(fleetSize, func(i int) assignment.Member { return assignment.Member{Name: name(i), Capacity: 100} })
-	f.table.Set(assignment.New(members, fleetSize))
+	f.table.Set(assignment.New(members, nil, fleetSize))
 	for i := range fleetSize {
 		f.add(name(i))
 	}
@@ -186,12 +186,14 @@
 
 // caller returns a daemon that holds no shard itself.
 func (f *fleet) caller() string {
-	held := lo.FlatMap(shardNames(), func(s string, _ int) []string { return f.table.Get().Holders(s, name(0)) })
+	held := lo.FlatMap(shardNames(), func(s string, _ int) []string { return f.table.Get().Holders("", s, name(0), "") })
 	return lo.Without(lo.Times(fleetSize, name), held...)[0]
 }
 
 // first returns the daemon that is asked first for a shard.
-func (f *fleet) first(shard, sender string) string { return f.table.Get().Holders(shard, sender)[0] }
+func (f *fleet) first(shard, sender string) string {
+	return f.table.Get().Holders("", shard, sender, "")[0]
+}
 
 func TestSearchByWhatHappensToAHolder(t *testing.T) {
 	type harm func(f *fleet, holder, caller string)
--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -163,7 +163,7 @@
 
 func (d *Daemon) newDelegate(i do.Injector) (*delegate.Delegate, error) {
 	return &delegate.Delegate{
-		Name:   d.Settings().Name,
+		Name: d.Settings().Name, AvailabilityZone: d.Settings().AvailabilityZone,
 		Direct: scatter.Direct{Forwarder: do.MustInvoke[*forward.Forwarder](i)},
 		Table:  &d.table,
 		Peers:  holders{daemon: d},
--- a/internal/entry/holders.go
+++ b/internal/entry/holders.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"slices"
+
 	"github.com/samber/lo"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/assignment"
@@ -10,6 +12,9 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/targetpool"
 )
 
+// homeShare is the part of the targets of the best zone that another must have for searches to be gathered there.
+const homeShare = 0.25
+
 // holders reaches the daemons that hold shards; it is the delegate's Peers.
 type holders struct{ daemon *Daemon }
 
@@ -74,11 +79,26 @@
 	}
 }
 
-// assign shares the shards out among the live daemons.
-func (d *Daemon) assign(alive []roster.Member) {
+// assign shares the shards out among the live daemons, for searches that are gathered in the home zones.
+func (d *Daemon) assign(alive []roster.Member, homes []string) {
 	d.table.Set(assignment.New(lo.Map(alive, func(m roster.Member, _ int) assignment.Member {
-		return assignment.Member{Name: m.Name, Capacity: m.Capacity}
-	}), d.Settings().HoldersFrom))
+		return assignment.Member{Name: m.Name, AvailabilityZone: m.AvailabilityZone, Capacity: m.Capacity}
+	}), homes, d.Settings().HoldersFrom))
+}
+
+// homes returns the zones that have targets of searches, in order; those with few beside the others are left out.
+func (d *Daemon) homes() []string {
+	s := d.State()
+	count := map[string]int{}
+	for _, t := range s.Inventory.All() {
+		if s.Orders.Table.Widest(t.Service) > 0 {
+			count[t.AvailabilityZone]++
+		}
+	}
+	most := lo.Max(lo.Values(count))
+	homes := lo.Keys(lo.PickBy(count, func(_ string, n int) bool { return float64(n) >= homeShare*float64(most) }))
+	slices.Sort(homes)
+	return homes
 }
 
 // connectionShare returns how many connections this daemon may keep to a target of a service, so that all daemons of a
--- a/internal/entry/housekeeper.go
+++ b/internal/entry/housekeeper.go
@@ -38,7 +38,11 @@
 	members  int
 	// assigned are the names of the daemons among which shards were shared out last.
 	assigned []string
-	begun    time.Time
+	// assignedHomes are the zones in which searches were gathered then, knownHomes those of the published state with the
+	// revision homesOf and the configuration's version homesVersion.
+	assignedHomes, knownHomes []string
+	homesOf, homesVersion     uint64
+	begun                     time.Time
 }
 
 // Run keeps house until ctx ends.
@@ -91,11 +95,22 @@
 func (h *housekeeper) assign(alive []roster.Member) {
 	names := lo.Map(alive, func(m roster.Member, _ int) string { return m.Name })
 	slices.Sort(names)
-	if slices.Equal(names, h.assigned) {
+	homes := h.homes()
+	if slices.Equal(names, h.assigned) && slices.Equal(homes, h.assignedHomes) {
 		return
 	}
-	h.assigned = names
-	h.daemon.assign(alive)
+	h.assigned, h.assignedHomes = names, homes
+	h.daemon.assign(alive, homes)
+}
+
+// homes returns the zones in which searches are gathered; they are found anew when the published state has changed.
+func (h *housekeeper) homes() []string {
+	s := h.daemon.State()
+	if s.Inventory.Revision != h.homesOf || s.Orders.Version() != h.homesVersion {
+		h.homesOf, h.homesVersion = s.Inventory.Revision, s.Orders.Version()
+		h.knownHomes = h.daemon.homes()
+	}
+	return h.knownHomes
 }
 
 // senders returns the daemons that share a cold target's allowance; none while this daemon has just started and
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/knapweedpoint/knapweedpoint/internal/choice"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/permission"
@@ -49,6 +51,15 @@
 	return f.Book.Usual(Job{Route: r}.class())
 }
 
+// Zones returns, for each job, the availability zones of its service's targets that may receive work now.
+func (f *Forwarder) Zones(jobs []Job) [][]string {
+	now, inv := time.Now(), f.Inventory()
+	return lo.Map(jobs, func(j Job, _ int) []string {
+		allowed := f.Gate.Allowed(inv.Of(j.Service), now)
+		return lo.FilterMap(allowed, func(t inventory.Target, _ int) (string, bool) { return t.AvailabilityZone, !f.Book.Down(t, now) })
+	})
+}
+
 // Reachable reports whether any target of the service may receive work now.
 func (f *Forwarder) Reachable(service string) bool {
 	now := time.Now()
--- /dev/null
+++ b/internal/home/split_test.go
@@ -0,0 +1,92 @@
+package home_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/home"
+)
+
+// rotated returns the zones of the targets of n shards with some copies each: shard 0 in the first zones, shard 1 from the
+// second on, and so forth.
+func rotated(n, copies int, zones ...string) [][]string {
+	return lo.Times(n, func(i int) []string {
+		return lo.Times(copies, func(c int) string { return zones[(i+c)%len(zones)] })
+	})
+}
+
+// without returns the targets without those of a zone, for the first n shards.
+func without(targets [][]string, zone string, n int) [][]string {
+	return lo.Map(targets, func(zs []string, i int) []string {
+		if i >= n {
+			return zs
+		}
+		return lo.Without(zs, zone)
+	})
+}
+
+func fleet(capacities map[string]uint64) []home.Zone {
+	return lo.Map(slices.Sorted(slices.Values(lo.Keys(capacities))), func(name string, _ int) home.Zone {
+		return home.Zone{Name: name, Capacity: capacities[name]}
+	})
+}
+
+func TestWhoGathersWhere(t *testing.T) {
+	three := fleet(map[string]uint64{"a": 4, "b": 7, "c": 2})
+	five := fleet(map[string]uint64{"a": 9, "b": 9, "c": 9, "d": 9, "e": 9})
+	for _, c := range []struct {
+		name    string
+		own     string
+		zones   []home.Zone
+		targets [][]string
+		// want is the mean number of shards that each zone gathers.
+		want map[string]float64
+	}{
+		{"a replica of each shard in every zone", "b", three, rotated(90, 3, "a", "b", "c"), map[string]float64{"b": 90}},
+		{"replicas in two zones of three", "c", three, rotated(21, 2, "a", "b", "c"), map[string]float64{"c": 14, "a": 7 * 4.0 / 11, "b": 7 * 7.0 / 11}},
+		{"replicas in three zones of five", "a", five, rotated(180, 3, "a", "b", "c", "d", "e"), map[string]float64{"a": 108, "c": 36, "d": 36}},
+		{"no replica in this zone", "c", three, rotated(20, 2, "a", "b"), map[string]float64{"a": 20 * 4.0 / 11, "b": 20 * 7.0 / 11}},
+		{"two VMs in this zone", "c", three, rotated(20, 3, "a", "b", "c"), map[string]float64{"c": 20}},
+		{"this zone is taken out", "a", three, without(rotated(20, 3, "a", "b", "c"), "a", 20), map[string]float64{"b": 20 * 7.0 / 9, "c": 20 * 2.0 / 9}},
+		{"two of this zone's replicas are down", "a", three, without(rotated(20, 3, "a", "b", "c"), "a", 2), map[string]float64{"a": 20}},
+		{"many of this zone's replicas are down", "a", three, without(rotated(20, 3, "a", "b", "c"), "a", 9), map[string]float64{"a": 11, "b": 7, "c": 2}},
+		{"another zone's VMs are gone while its replicas live", "c", fleet(map[string]uint64{"b": 7, "c": 2}), rotated(21, 2, "a", "b", "c"), map[string]float64{"c": 14, "b": 7}},
+		{"another zone is lost", "c", fleet(map[string]uint64{"b": 7, "c": 2}), without(rotated(21, 2, "a", "b", "c"), "a", 21), map[string]float64{"c": 14, "b": 7}},
+		{"all replicas are down", "a", three, make([][]string, 20), map[string]float64{"a": 20}},
+		{"no zone's daemons are known", "a", nil, rotated(20, 2, "b", "c"), map[string]float64{"a": 20}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			const searches = 2000
+			got := map[string]float64{}
+			for i := range searches {
+				for _, zone := range home.Split(c.own, fmt.Sprint("request-", i), c.zones, c.targets) {
+					got[zone] += 1.0 / searches
+				}
+			}
+			require.Len(t, got, len(c.want))
+			for zone, want := range c.want {
+				require.InDelta(t, want, got[zone], 0.05*float64(len(c.targets)))
+			}
+		})
+	}
+}
+
+// The pattern: a zone is lost; only the shards that it gathered are gathered elsewhere.
+func TestALostZoneMovesOnlyItsShards(t *testing.T) {
+	zones := fleet(map[string]uint64{"a": 9, "b": 9, "c": 9, "d": 9})
+	targets := rotated(20, 3, "b", "c", "d")
+	for i := range 1000 {
+		key := fmt.Sprint("request-", i)
+		before := home.Split("a", key, zones, targets)
+		after := home.Split("a", key, lo.Reject(zones, func(z home.Zone, _ int) bool { return z.Name == "b" }), targets)
+		for shard := range targets {
+			if before[shard] != "b" {
+				require.Equal(t, before[shard], after[shard])
+			}
+		}
+	}
+}
