--- a/internal/choice/book.go
+++ b/internal/choice/book.go
@@ -33,9 +33,9 @@
 	// hintPenalty is the share of a route's usual time by which a target is taken to be later that one peer, and no
 	// other, waits for: more than half of such calls are only long ones.
 	hintPenalty = 0.5
-	// remotePenalty is the share of a route's usual time by which a target in another availability zone is taken to be
-	// later: two hops of 1 to 1.4 ms of some 10, and bytes between zones are dear.
-	remotePenalty = 0.8
+	// remotePenalty is how many times a route's usual time a target in another availability zone is taken to be later:
+	// bytes between zones are dear, and objectives leave room for a call that takes three times the usual.
+	remotePenalty = 2
 	// spread is the random share by which expectations differ, so that daemons do not move in step.
 	spread = 0.15
 	// defaultSlots is taken for a target that does not state its slots.
--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -98,7 +98,7 @@
 		return nil, errorx.ExternalError.Wrap(err, "listen on %s", d.Settings().Gossip)
 	}
 	return &gossip.Gossiper{
-		Roster: do.MustInvoke[*roster.Roster](i), Conn: conn, Seeds: d.seeds, Receiver: d, Log: d.o.Log,
+		Roster: do.MustInvoke[*roster.Roster](i), Conn: conn, Seeds: d.seeds, Receiver: d, Meter: d.o.Meter, Log: d.o.Log,
 		Has: func() (uint64, uint64) { return d.syncer.syncer.Has() },
 	}, nil
 }
@@ -128,7 +128,7 @@
 	r := do.MustInvoke[*roster.Roster](i)
 	s := storesync.New(storesync.Options{
 		Source:     d.o.Source,
-		Peers:      peers{roster: r, gossiper: g, http: peercopy.NewHTTPClient(d.o.Intake)},
+		Peers:      peers{roster: r, gossiper: g, http: peercopy.NewHTTPClient(d.o.Intake), meter: d.o.Meter},
 		Cell:       do.MustInvoke[*blackboard.Cell[published.State]](i),
 		Bound:      func() time.Duration { return d.Settings().Rules.DrainBound.Std() },
 		FirstStart: d.Settings().FirstStart,
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -14,6 +14,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/storesync"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetpool"
+	"github.com/knapweedpoint/knapweedpoint/internal/traffic"
 	"github.com/knapweedpoint/knapweedpoint/pkg/settings"
 )
 
@@ -50,6 +51,8 @@
 	Pool   *targetpool.Pool
 	// Intake bounds the bytes of unfinished messages.
 	Intake *intake.Budget
+	// Meter counts bytes by kind.
+	Meter *traffic.Meter
 	// NewCallers and NewReadiness make the interfaces that the daemon serves.
 	NewCallers   func(answer AnswerFunc) Callers
 	NewReadiness func(ready func() bool) Readiness
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -14,6 +14,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/peercopy"
 	"github.com/knapweedpoint/knapweedpoint/internal/rendezvous"
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
+	"github.com/knapweedpoint/knapweedpoint/internal/traffic"
 )
 
 // readerKey is what daemons are ranked for when they read the store for all.
@@ -24,6 +25,7 @@
 	roster   *roster.Roster
 	gossiper *gossip.Gossiper
 	http     *http.Client
+	meter    *traffic.Meter
 }
 
 // Push tells all live peers what changed.
@@ -37,7 +39,9 @@
 	if !ok {
 		return nil, errorx.IllegalState.New("no address of %s is known", from.Name)
 	}
-	return peercopy.Fetch(ctx, p.http, m.Copies, have)
+	c, err := peercopy.Fetch(ctx, p.http, m.Copies, have)
+	p.meter.Add(traffic.Copies, m.AvailabilityZone, len(c.GetCopy()))
+	return c, err
 }
 
 // Members returns the number of live daemons.
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -16,6 +16,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
 	"github.com/knapweedpoint/knapweedpoint/internal/pace"
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
+	"github.com/knapweedpoint/knapweedpoint/internal/traffic"
 )
 
 const (
@@ -52,7 +53,9 @@
 	// Has returns the version of the configuration that this daemon has, 0 while it has none, and the revision from
 	// which on it can tell all changes of targets.
 	Has func() (version, since uint64)
-	Log *zap.Logger
+	// Meter counts the bytes that are sent; nil counts none.
+	Meter *traffic.Meter
+	Log   *zap.Logger
 
 	// helped bounds the welcomes for one daemon: others help it too.
 	helped pace.Limiter
@@ -83,11 +86,11 @@
 		Known:   uint32(len(g.Roster.Peers(now)) + 1),
 		Members: lo.Map(g.Roster.Latest(sampleSize, now), func(m roster.Member, _ int) *gossippb.Member { return encodeMember(m.WithoutAddress()) }),
 	}
-	for _, p := range g.Roster.Sample(fanOut, now) {
-		g.send(p.Address, d)
+	for _, p := range g.Roster.Near(fanOut, now) {
+		g.send(p, d)
 	}
 	if seeds := g.Seeds(); len(seeds) > 0 && (round%seedEvery == 0 || len(g.Roster.Peers(now)) == 0) {
-		g.send(seeds[rand.IntN(len(seeds))], d)
+		g.send(roster.Member{Address: seeds[rand.IntN(len(seeds))]}, d)
 	}
 }
 
@@ -95,7 +98,7 @@
 func (g *Gossiper) Broadcast(d *gossippb.Datagram) {
 	d.Self = encodeMember(g.Roster.Self().WithoutAddress())
 	for _, p := range g.Roster.Peers(time.Now()) {
-		g.send(p.Address, d)
+		g.send(p, d)
 	}
 }
 
@@ -109,21 +112,38 @@
 // Send sends a datagram to one daemon, which may know nothing of this one.
 func (g *Gossiper) Send(to roster.Member, d *gossippb.Datagram) {
 	d.Self = encodeMember(g.Roster.Self())
-	g.send(to.Address, d)
+	g.send(to, d)
 }
 
-func (g *Gossiper) send(address string, d *gossippb.Datagram) {
+func (g *Gossiper) send(member roster.Member, d *gossippb.Datagram) {
 	data, err := proto.Marshal(d)
 	if err != nil || len(data) > MaxDatagram {
 		events.DatagramFailed.Log(g.Log, zap.Int("bytes", len(data)), zap.Error(err))
 		return
 	}
-	to, err := net.ResolveUDPAddr("udp4", address)
+	g.Meter.Add(kind(d), member.AvailabilityZone, len(data))
+	to, err := net.ResolveUDPAddr("udp4", member.Address)
 	if err == nil {
 		_, err = g.Conn.WriteTo(data, to)
 	}
 	if err != nil {
-		events.DatagramFailed.Log(g.Log, zap.String("to", address), zap.Error(err))
+		events.DatagramFailed.Log(g.Log, zap.String("to", member.Address), zap.Error(err))
+	}
+}
+
+// kind returns what a datagram's bytes are counted as.
+func kind(d *gossippb.Datagram) traffic.Kind {
+	switch {
+	case d.GetPartsReply() != nil:
+		return traffic.Blocks
+	case d.GetPartsCall() != nil || d.GetPartsGrant() != nil || d.GetPartsCancel() != nil:
+		return traffic.Calls
+	case d.GetPush() != nil:
+		return traffic.Pushes
+	case len(d.GetStalls()) > 0 || len(d.GetCrashes()) > 0:
+		return traffic.Hints
+	default:
+		return traffic.Gossip
 	}
 }
 
@@ -184,7 +204,7 @@
 		return
 	}
 	if g.helped.Due(to.Name, now) {
-		g.send(to.Address, g.welcome())
+		g.send(to, g.welcome())
 	}
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -169,6 +170,19 @@
 	return r.take(n, now, func([]sighting) {})
 }
 
+// Near returns up to n live members at random, those of the daemon's own availability zone first but for the last one,
+// which may be anywhere: news spread inside a zone and cross between zones only now and then.
+func (r *Roster) Near(n int, now time.Time) []Member {
+	own := r.Self().AvailabilityZone
+	near := r.take(n-1, now, func(out []sighting) {
+		slices.SortStableFunc(out, func(a, b sighting) int {
+			return cmp.Compare(lo.Ternary(a.member.AvailabilityZone == own, 0, 1), lo.Ternary(b.member.AvailabilityZone == own, 0, 1))
+		})
+	})
+	known := func(m Member) bool { return lo.ContainsBy(near, func(o Member) bool { return o.Name == m.Name }) }
+	return append(near, lo.Slice(lo.Reject(r.Sample(n, now), func(m Member, _ int) bool { return known(m) }), 0, 1)...)
+}
+
 // Latest returns up to n live members that were heard of last, so that news travels on before it is old.
 func (r *Roster) Latest(n int, now time.Time) []Member {
 	return r.take(n, now, func(out []sighting) {
--- a/internal/targetpool/conn.go
+++ b/internal/targetpool/conn.go
@@ -9,6 +9,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/allowance"
 	"github.com/knapweedpoint/knapweedpoint/internal/intake"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/traffic"
 )
 
 // readBuffer holds a usual answer in one read.
@@ -25,12 +26,33 @@
 	Reused  bool
 	target  string
 	service string
+	zone    string
+	meter   *traffic.Meter
 	until   time.Time
 }
 
-func newConn(c net.Conn, t inventory.Target, budget *intake.Budget) *Conn {
-	a := &allowance.Reader{From: c, Budget: budget}
-	return &Conn{Conn: c, Reader: bufio.NewReaderSize(a, readBuffer), Allowance: a, target: t.ID, service: t.Service}
+func newConn(c net.Conn, t inventory.Target, budget *intake.Budget, meter *traffic.Meter) *Conn {
+	out := &Conn{Conn: c, target: t.ID, service: t.Service, zone: t.AvailabilityZone, meter: meter}
+	out.Allowance = &allowance.Reader{From: received{conn: out}, Budget: budget}
+	out.Reader = bufio.NewReaderSize(out.Allowance, readBuffer)
+	return out
+}
+
+// Write sends and counts.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.Add(traffic.Requests, c.zone, n)
+	return n, err
+}
+
+// received reads what the target sends and counts it.
+type received struct{ conn *Conn }
+
+// Read reads on.
+func (r received) Read(p []byte) (int, error) {
+	n, err := r.conn.Conn.Read(p)
+	r.conn.meter.Add(traffic.Answers, r.conn.zone, n)
+	return n, err
 }
 
 // quiet reports whether nothing has arrived and the target has not closed the connection.
--- a/internal/targetpool/pool.go
+++ b/internal/targetpool/pool.go
@@ -8,6 +8,7 @@
 
 	"github.com/knapweedpoint/knapweedpoint/internal/intake"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/traffic"
 )
 
 // Defaults of a Pool.
@@ -28,6 +29,8 @@
 	Dialed func()
 	// Budget is drawn on for long answers; nil has no bound.
 	Budget *intake.Budget
+	// Meter counts the bytes of all connections; nil counts none.
+	Meter *traffic.Meter
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
@@ -89,7 +92,7 @@
 	if p.Dialed != nil {
 		p.Dialed()
 	}
-	return newConn(c, t, p.Budget), nil
+	return newConn(c, t, p.Budget, p.Meter), nil
 }
 
 // Give takes a connection back after a whole answer; idle is how long the target keeps it, 0 when it did not say.
