Calls that one pause held up count as one sample of slowness

Ruled out: queues (q 0 to 1), failures (0), hedges (6% of sends). Change: calls that began before the latest sample ended replace it; losers go on for 400 ms. Tests: TestOnePauseIsNoSlowness (failed before), TestSlownessShowsUnderOverlappingCalls.

--- a/internal/choice/book.go
+++ b/internal/choice/book.go
@@ -20,8 +20,8 @@
 	// unreachableFor is how long a target that did not accept a connection is avoided: two heartbeats,
 	// by when the platform has published its end or its new start.
 	unreachableFor = 2500 * time.Millisecond
-	// silentAfter is longer than a target's pause of 200 ms; silentPatience is the same for calls that last long anyway.
-	silentAfter    = 250 * time.Millisecond
+	// silentAfter is longer than a target's pause of 250 ms; silentPatience is the same for calls that last long anyway.
+	silentAfter    = 300 * time.Millisecond
 	silentPatience = 4
 	// firstApart and maxApart bound how long a silent target is set apart before it is tried again; maxSilences
 	// is when the one has grown to the other.
@@ -248,7 +248,7 @@
 	k.record.silences = 0
 	took := now.Sub(k.begun)
 	u := k.book.usually(k.class)
-	k.record.addRatio(float64(took)/(float64(u.median)*(1+k.ahead)), now)
+	k.record.addRatio(float64(took)/(float64(u.median)*(1+k.ahead)), k.begun, now)
 	u.add(took)
 }
 
--- a/internal/choice/book_test.go
+++ b/internal/choice/book_test.go
@@ -196,3 +196,49 @@
 	_, ok := (&choice.Book{}).Pick(class, nil, time.Now())
 	require.False(t, ok)
 }
+
+// The pattern: a target pauses for 250 ms while a holder has several calls at it; all of them are late at once.
+func TestOnePauseIsNoSlowness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := &choice.Book{}
+		for range 3 {
+			answer(k, a, 20*time.Millisecond, targetcall.Load{})
+			answer(k, b, 20*time.Millisecond, targetcall.Load{})
+		}
+		var waiting []*choice.Ticket
+		for range 5 {
+			waiting = append(waiting, k.Begin(class, a, time.Now()))
+			time.Sleep(50 * time.Millisecond)
+		}
+		for _, ticket := range waiting {
+			ticket.End(targetcall.Answered{Status: 200, Signature: "x"}, false, time.Now())
+			time.Sleep(time.Millisecond)
+		}
+		require.InDelta(t, 0.5, shareOfA(k), 0.15)
+	})
+}
+
+// The pattern: a target turns slow under a steady load of one call each 20 ms.
+func TestSlownessShowsUnderOverlappingCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := &choice.Book{}
+		for range 3 {
+			answer(k, a, 20*time.Millisecond, targetcall.Load{})
+			answer(k, b, 20*time.Millisecond, targetcall.Load{})
+		}
+		const slow = 10
+		var waiting []*choice.Ticket
+		for range 3 * slow {
+			waiting = append(waiting, k.Begin(class, a, time.Now()))
+			time.Sleep(20 * time.Millisecond)
+			if len(waiting) > slow {
+				waiting[0].End(targetcall.Answered{Status: 200, Signature: "x"}, false, time.Now())
+				waiting = waiting[1:]
+			}
+		}
+		for _, ticket := range waiting {
+			ticket.End(targetcall.Answered{Status: 200, Signature: "x"}, false, time.Now())
+		}
+		require.Zero(t, shareOfA(k))
+	})
+}
--- a/internal/choice/record.go
+++ b/internal/choice/record.go
@@ -36,7 +36,9 @@
 	slots  int
 	calls  map[*Ticket]struct{}
 	ratios []float64
-	seen   time.Time
+	// sampled is when the first call of the latest ratio ended, seen when the latest call did.
+	sampled time.Time
+	seen    time.Time
 
 	load   targetcall.Load
 	loadAt time.Time
@@ -58,12 +60,20 @@
 	return r.address == t.Address && r.born == t.Born
 }
 
-func (r *record) addRatio(ratio float64, now time.Time) {
-	r.ratios = append(r.ratios, min(ratio, maxSlowness))
+// addRatio takes in how many times longer than usual a call lasted that began at a time. Calls that one pause held up
+// end together; they count as one, so that a pause is not taken for slowness.
+func (r *record) addRatio(ratio float64, begun, now time.Time) {
+	r.seen = now
+	ratio = min(ratio, maxSlowness)
+	if len(r.ratios) > 0 && begun.Before(r.sampled) {
+		r.ratios[len(r.ratios)-1] = ratio
+		return
+	}
+	r.sampled = now
+	r.ratios = append(r.ratios, ratio)
 	if len(r.ratios) > samples {
 		r.ratios = r.ratios[1:]
 	}
-	r.seen = now
 }
 
 // slowness returns how many times longer than usual the target takes, without its queue.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -15,8 +15,8 @@
 	// maxSends bounds the sends of one job, refused ones counted.
 	maxSends = 6
 	// linger is how long a send that lost against a second one may go on, so that its connection stays usable;
-	// it is longer than a target's pause of 200 ms.
-	linger = 300 * time.Millisecond
+	// it is longer than a target's pause of 250 ms and the queue that it leaves.
+	linger = 400 * time.Millisecond
 	// hintPatience is how many halves of a call's patience pass before others are told of its target.
 	hintPatience = 3
 	// permissionPoll is how often a job that may not repeat yet asks again; a permission takes two hops between zones.
