Answers leave earlier on VMs with little processor

Ruled out: targets (parts were in), the timer (the measured lag is below 2 ms), new connections. Change: headroom.Of adds 2 ms of a whole core over the VM's share; a third of the objective at most.

--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -16,6 +16,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/dispatch"
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossip"
+	"github.com/knapweedpoint/knapweedpoint/internal/headroom"
 	"github.com/knapweedpoint/knapweedpoint/internal/holder"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/metrics"
@@ -174,7 +175,7 @@
 
 func (d *Daemon) newDispatcher(i do.Injector) (*dispatch.Dispatcher, error) {
 	f := do.MustInvoke[*forward.Forwarder](i)
-	margin := d.Settings().Rules.CallerMargin.Std()
+	margin := headroom.Of(d.Settings().Rules.CallerMargin.Std(), d.Settings().Processor)
 	return &dispatch.Dispatcher{
 		State:     d.State,
 		Forwarder: f,
--- a/internal/scatter/gatherer.go
+++ b/internal/scatter/gatherer.go
@@ -14,6 +14,9 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/topk"
 )
 
+// mostEarly bounds how much of its objective a search may be answered early: a third; parts take an eighth of it.
+const mostEarly = 3
+
 // retryWhenDark is told to callers when too many shards have no target: one is published again within a second.
 const retryWhenDark = 500 * time.Millisecond
 
@@ -73,7 +76,7 @@
 	jobs := lo.Map(shards, func(name string, _ int) forward.Job {
 		return forward.Job{Service: name, Route: s.Route, Request: s.Request, Until: s.Until}
 	})
-	s.Cut = s.Begun.Add(s.Route.Objective - g.Margin - g.lag.Estimate())
+	s.Cut = s.Begun.Add(s.Route.Objective - min(g.Margin+g.lag.Estimate(), s.Route.Objective/mostEarly))
 	batch := g.Runner.Start(s, jobs)
 	defer batch.Release()
 	c := &collection{
