A datagram to all peers is encoded once

Change: Broadcast encodes once; one line of event 830 a push. Not changed: pushes longer than a datagram are left to copies, as before.

--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -97,8 +97,12 @@
 // Broadcast sends a datagram to every live peer.
 func (g *Gossiper) Broadcast(d *gossippb.Datagram) {
 	d.Self = encodeMember(g.Roster.Self().WithoutAddress())
+	data, ok := g.encode(d)
+	if !ok {
+		return
+	}
 	for _, p := range g.Roster.Peers(time.Now()) {
-		g.send(p, d)
+		g.write(p, kind(d), data)
 	}
 }
 
@@ -116,12 +120,23 @@
 }
 
 func (g *Gossiper) send(member roster.Member, d *gossippb.Datagram) {
+	if data, ok := g.encode(d); ok {
+		g.write(member, kind(d), data)
+	}
+}
+
+// encode returns a datagram's bytes; false when there are too many.
+func (g *Gossiper) encode(d *gossippb.Datagram) ([]byte, bool) {
 	data, err := proto.Marshal(d)
 	if err != nil || len(data) > MaxDatagram {
 		events.DatagramFailed.Log(g.Log, zap.Int("bytes", len(data)), zap.Error(err))
-		return
+		return nil, false
 	}
-	g.Meter.Add(kind(d), member.AvailabilityZone, len(data))
+	return data, true
+}
+
+func (g *Gossiper) write(member roster.Member, kind traffic.Kind, data []byte) {
+	g.Meter.Add(kind, member.AvailabilityZone, len(data))
 	to, err := net.ResolveUDPAddr("udp4", member.Address)
 	if err == nil {
 		_, err = g.Conn.WriteTo(data, to)
