What panics over one message or call ends alone; odd calls of peers are refused

Looked for after an operator's story (one malformed message took a whole process down): a call without an objective kept its holder replying without a pause for up to 49 days; a panic in a send, a held call or a datagram ended the process. Change: workers.Protect, event 880; holder refuses calls that no daemon sends.

--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -100,7 +100,7 @@
 		return nil, errorx.ExternalError.Wrap(err, "listen on %s", d.Settings().Gossip)
 	}
 	return &gossip.Gossiper{
-		Roster: do.MustInvoke[*roster.Roster](i), Conn: conn, Seeds: d.seeds, Receiver: d, Meter: d.o.Meter, Log: d.o.Log,
+		Roster: do.MustInvoke[*roster.Roster](i), Conn: conn, Seeds: d.seeds, Receiver: d, Meter: d.o.Meter, Log: d.o.Log, Panicked: d.panicked,
 		Has: func() (uint64, uint64) { return d.syncer.syncer.Has() },
 	}, nil
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -73,6 +73,7 @@
 // New returns a daemon that is assembled but not started.
 func New(o Options) (*Daemon, error) {
 	d := &Daemon{o: o}
+	d.sends.Panicked = d.panicked
 	d.settings.Set(&o.Settings)
 	d.board.SetLife(blackboard.Starting{})
 	d.injector = d.assemble()
@@ -82,6 +83,11 @@
 	return d, nil
 }
 
+// panicked logs what panicked while it worked on one message or call.
+func (d *Daemon) panicked(value any, stack []byte) {
+	events.WorkPanicked.Log(d.o.Log, zap.Any("panic", value), zap.ByteString("stack", stack))
+}
+
 // Settings returns the settings in force.
 func (d *Daemon) Settings() settings.Entry { return *d.settings.Get() }
 
--- a/internal/events/event.go
+++ b/internal/events/event.go
@@ -73,6 +73,7 @@
 	SettingsRefused  = Event{851, "settingsRefused", Error}
 	LogLinesDropped  = Event{860, "logLinesDropped", Warn}
 	InterfaceFailed  = Event{870, "interfaceFailed", Warn}
+	WorkPanicked     = Event{880, "workPanicked", Error}
 )
 
 // All lists every event in the order of the numbers.
@@ -86,7 +87,7 @@
 		RequestEnded, PartsEnded, HolderSilent, StoreLost, StoreRegained, StoreRead, CopyTaken, CopyFailed, EntryForeign, OrdersTaken,
 		TargetPublished, TargetWithdrawn, TargetDown, RequestCrashes, AnswerOverlong,
 		DatagramFailed, DatagramOdd, MembersChanged, ClockSuspended, SettingsReloaded, SettingsRefused,
-		LogLinesDropped, InterfaceFailed,
+		LogLinesDropped, InterfaceFailed, WorkPanicked,
 	}
 }
 
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -17,6 +17,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/pace"
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
 	"github.com/knapweedpoint/knapweedpoint/internal/traffic"
+	"github.com/knapweedpoint/knapweedpoint/internal/workers"
 )
 
 const (
@@ -56,6 +57,8 @@
 	// Meter counts the bytes that are sent; nil counts none.
 	Meter *traffic.Meter
 	Log   *zap.Logger
+	// Panicked is told of a datagram that made its receiver panic, after which others are taken; nil lets it end the process.
+	Panicked func(value any, stack []byte)
 
 	// helped bounds the welcomes for one daemon: others help it too.
 	helped pace.Limiter
@@ -170,7 +173,7 @@
 	group.Go(func() error {
 		for ds := range box.all() {
 			for _, d := range ds {
-				g.take(d)
+				workers.Protect(func() { g.take(d) }, g.Panicked)
 			}
 		}
 		return nil
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -15,6 +15,8 @@
 const (
 	// keepFor is how long an ended call can still be answered again: longer than its sender asks.
 	keepFor = 2 * time.Second
+	// longest bounds how long a call may run; routes wait for seconds.
+	longest = 10 * time.Minute
 	// maxCalls bounds the calls that are kept, some 2 KB each: 45 searches a second, eight calls each, for keepFor.
 	maxCalls = 4096
 )
@@ -51,7 +53,7 @@
 	if h.wasGivenUp(k) {
 		return
 	}
-	if !h.Ready() || h.Len() >= maxCalls {
+	if odd(m) || !h.Ready() || h.Len() >= maxCalls {
 		reply(&gossippb.PartsReply{Id: m.GetId(), Refused: true})
 		return
 	}
@@ -66,6 +68,11 @@
 	})
 }
 
+// odd reports whether a call cannot be run as it is: no daemon sends such a one.
+func odd(m *gossippb.PartsCall) bool {
+	return len(m.GetShards()) == 0 || m.GetObjectiveMillis() == 0 || millis(m.GetLeftMillis()) > longest
+}
+
 func (h *Holder) known(k key) *call {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/choice"
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
@@ -92,3 +93,39 @@
 		pool.Close()
 	})
 }
+
+// The pattern: a peer, or something else that sends to its port, sends calls of any content.
+func FuzzTake(f *testing.F) {
+	for _, m := range []*gossippb.PartsCall{
+		call(1),
+		{},
+		{Shards: []string{"s"}, LeftMillis: 1 << 31},
+		{Shards: []string{"s", "s", "none"}, ObjectiveMillis: 1, CutMillis: -1, LeftMillis: 20},
+		{Shards: []string{"s"}, ObjectiveMillis: 1 << 31, CutMillis: 1 << 30, LeftMillis: 50, Greatest: 1 << 31, Attempts: 1 << 31, Again: true},
+	} {
+		data, err := proto.Marshal(m)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := &gossippb.PartsCall{}
+		if proto.Unmarshal(data, m) != nil || m.GetLeftMillis() > 10_000 && m.GetLeftMillis() <= 600_000 {
+			return
+		}
+		synctest.Test(t, func(t *testing.T) {
+			pool := &workers.Pool{}
+			sender := &testtarget.Sender{Behave: func(string, int) testtarget.Behaviour { return testtarget.Behaviour{After: time.Second} }}
+			h := newHolder(pool, sender, true)
+			replies := 0
+			h.Take("vm1", m, func(r *gossippb.PartsReply) {
+				require.Equal(t, m.GetId(), r.GetId())
+				replies++
+			})
+			time.Sleep(20 * time.Second)
+			pool.Close()
+			// A call of ten seconds replies every eighth of its objective, of a millisecond at least.
+			require.LessOrEqual(t, replies, 10_000*8+2)
+			require.LessOrEqual(t, len(sender.Calls()), 6*len(m.GetShards()))
+		})
+	})
+}
--- /dev/null
+++ b/internal/workers/panic_test.go
@@ -0,0 +1,25 @@
+package workers_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/workers"
+)
+
+func TestAJobThatPanicsEndsAlone(t *testing.T) {
+	told := make(chan any, 1)
+	p := &workers.Pool{Panicked: func(value any, stack []byte) {
+		require.Contains(t, string(stack), "panic_test.go")
+		told <- value
+	}}
+	ran := make(chan bool, 2)
+	p.Go(func() { panic("odd message") })
+	require.Equal(t, "odd message", <-told)
+	p.Go(func() { ran <- true })
+	p.Go(func() { ran <- true })
+	require.True(t, <-ran)
+	require.True(t, <-ran)
+	p.Close()
+}
--- a/internal/workers/pool.go
+++ b/internal/workers/pool.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 
@@ -13,6 +14,9 @@
 
 // Pool runs jobs; its zero value keeps DefaultIdle goroutines.
 type Pool struct {
+	// Panicked is told of a job that panicked, which then ends alone; without it a panic ends the process.
+	Panicked func(value any, stack []byte)
+
 	once  sync.Once
 	jobs  chan func()
 	idle  atomic.Int64
@@ -29,15 +33,27 @@
 	}
 }
 
-func (p *Pool) work(job func()) {
+// Protect runs a job; panicked, unless it is nil, is told of a panic, which goes no further.
+func Protect(job func(), panicked func(value any, stack []byte)) {
+	if panicked != nil {
+		defer func() {
+			if value := recover(); value != nil {
+				panicked(value, debug.Stack())
+			}
+		}()
+	}
 	job()
+}
+
+func (p *Pool) work(job func()) {
+	Protect(job, p.Panicked)
 	for p.idle.Add(1) <= DefaultIdle {
 		job, open := <-p.jobs
 		p.idle.Add(-1)
 		if !open {
 			return
 		}
-		job()
+		Protect(job, p.Panicked)
 	}
 	p.idle.Add(-1)
 }
