--- a/internal/delegate/delegate_test.go
+++ b/internal/delegate/delegate_test.go
@@ -76,31 +76,40 @@
 		sender: &testtarget.Sender{Behave: behave}, holders: map[string]*holder.Holder{}, roots: map[string]*delegate.Delegate{},
 		calls: map[string]int{}, count: map[string]int{},
 	}
+	f.stand(func(int) string { return "" }, fleetSize)
+	return f
+}
+
+// stand places the daemons and the copies of each shard in availability zones, by their numbers; least is the product of
+// daemons and shards from which on shards have holders.
+func (f *fleet) stand(zone func(i int) string, least int) {
 	var targets []inventory.Target
-	for _, s := range shardNames() {
+	for i, s := range shardNames() {
 		for c := range copies {
-			targets = append(targets, inventory.Target{ID: fmt.Sprint(s, "-", c), Service: s, Slots: 2})
+			targets = append(targets, inventory.Target{ID: fmt.Sprint(s, "-", c), Service: s, Slots: 2, AvailabilityZone: zone(i + c)})
 		}
 	}
 	f.inventory = inventory.New(1, targets)
-	members := lo.Times(fleetSize, func(i int) assignment.Member { return assignment.Member{Name: name(i), Capacity: 100} })
-	f.table.Set(assignment.New(members, nil, fleetSize))
+	members := lo.Times(fleetSize, func(i int) assignment.Member {
+		return assignment.Member{Name: name(i), AvailabilityZone: zone(i), Capacity: 100}
+	})
+	homes := lo.Without(lo.Uniq(lo.Times(fleetSize, zone)), "")
+	f.table.Set(assignment.New(members, homes, least))
 	for i := range fleetSize {
-		f.add(name(i))
+		f.add(name(i), zone(i))
 	}
-	return f
 }
 
-func (f *fleet) add(name string) {
+func (f *fleet) add(name, zone string) {
 	budget := &retrybudget.Budget{}
 	budget.SetRule(retrybudget.Rule{Ratio: 0.2, Slack: 200, Window: 10 * time.Second}, retrybudget.Equal(1))
 	forwarder := &forward.Forwarder{
-		Sender: f.sender, Book: &choice.Book{}, Gate: &permission.Gate{}, Budget: budget,
+		Sender: f.sender, Book: &choice.Book{AvailabilityZone: zone}, Gate: &permission.Gate{}, Budget: budget,
 		Inventory: func() inventory.Inventory { return f.inventory }, Workers: &f.pool,
 	}
 	f.holders[name] = &holder.Holder{Forwarder: forwarder, Ready: func() bool { return true }, Workers: &f.pool}
 	f.roots[name] = &delegate.Delegate{
-		Name: name, Direct: scatter.Direct{Forwarder: forwarder}, Table: &f.table, Peers: link{fleet: f, name: name},
+		Name: name, AvailabilityZone: zone, Direct: scatter.Direct{Forwarder: forwarder}, Table: &f.table, Peers: link{fleet: f, name: name},
 	}
 }
 
--- a/internal/delegate/plan.go
+++ b/internal/delegate/plan.go
@@ -43,12 +43,13 @@
 	}
 	p := plan{table: table, sender: d.Name, zone: d.AvailabilityZone, key: s.Request.ID, held: table.Serves(len(jobs))}
 	p.zones = d.split(table, p.key, jobs)
-	if !p.held && lo.EveryBy(p.zones, func(zone string) bool { return zone == p.zone }) {
+	if !p.held && lo.EveryBy(p.zones, func(zone string) bool { return zone == p.zone || zone == "" }) {
 		return plan{}, false
 	}
 	return p, true
 }
 
+// split returns the zone in which each job's shard is gathered, "" where no zone has both targets and daemons.
 func (d *Delegate) split(table *assignment.Table, key string, jobs []forward.Job) []string {
 	zones := table.Zones()
 	if len(zones) == 1 {
