--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -122,6 +122,7 @@
 				replies++
 			})
 			time.Sleep(20 * time.Second)
+			synctest.Wait()
 			pool.Close()
 			// A call of ten seconds replies every eighth of its objective, of a millisecond at least.
 			require.LessOrEqual(t, replies, 10_000*8+2)
