Observability: rate limits that targets state, and the sends to such targets

platform/backend decodes the header into targetcall.RateLimit, targetlimit.Register keeps the latest plausible statement of each incarnation, events 826 to 829 show statements, their end, unreadable ones and each daemon's first and additional sends a second. No send depends on it yet.

--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -29,6 +29,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/split"
 	"github.com/knapweedpoint/knapweedpoint/internal/stallhint"
 	"github.com/knapweedpoint/knapweedpoint/internal/storesync"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetlimit"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetselect"
 )
 
@@ -46,6 +47,7 @@
 	do.ProvideValue(i, &retrybudget.Budget{})
 	do.ProvideValue(i, &split.Picker{})
 	do.ProvideValue(i, &crashguard.Guard{})
+	do.ProvideValue(i, &targetlimit.Register{})
 	do.ProvideValue(i, &blackboard.Cell[platformstate.State]{})
 	do.Provide(i, d.newRoster)
 	do.Provide(i, d.newGossiper)
@@ -66,6 +68,7 @@
 	}
 	d.sync = syncer
 	d.guard = do.MustInvoke[*crashguard.Guard](d.injector)
+	d.limits = do.MustInvoke[*targetlimit.Register](d.injector)
 	d.hints = &stallhint.Notifier{Broadcast: syncer.gossiper.Broadcast}
 	d.forwarder = do.MustInvoke[*forward.Forwarder](d.injector)
 	d.aggregator = do.MustInvoke[*aggregator.Aggregator](d.injector)
@@ -154,6 +157,7 @@
 		Budget:         do.MustInvoke[*retrybudget.Budget](i),
 		Inventory:      func() inventory.Inventory { return d.State().Inventory },
 		Workers:        &d.sends,
+		OnSend:         func(t inventory.Target, additional bool) { d.limits.CountSend(t.ID, additional) },
 		OnResult:       d.observeResult,
 		OnUnresponsive: d.sendStallHint,
 	}, nil
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -15,9 +15,10 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
 )
 
-// observeResult updates the crash guard, the logs and the pool with the result of a send.
-func (d *Daemon) observeResult(r targetcall.Request, t inventory.Target, result targetcall.Result) {
+// observeResult updates the crash guard, the rate limits, the logs and the pool with the result of a send.
+func (d *Daemon) observeResult(r targetcall.Request, t inventory.Target, result targetcall.Result, startedAt time.Time) {
 	now := time.Now()
+	d.observeLimit(t, result, startedAt, now)
 	switch x := result.(type) {
 	case targetcall.Answered:
 		d.guard.RecordAnswer(crashguard.Fingerprint(r), now)
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
 	"github.com/knapweedpoint/knapweedpoint/internal/stallhint"
 	"github.com/knapweedpoint/knapweedpoint/internal/storesync"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetlimit"
 	"github.com/knapweedpoint/knapweedpoint/internal/throttle"
 	"github.com/knapweedpoint/knapweedpoint/internal/workers"
 	"github.com/knapweedpoint/knapweedpoint/pkg/settings"
@@ -48,6 +49,7 @@
 	housekeeper      *housekeeper
 	hints            *stallhint.Notifier
 	guard            *crashguard.Guard
+	limits           *targetlimit.Register
 	aggregator       *aggregator.Aggregator
 	aggregatorClient *aggregatorclient.Client
 	// assignments holds the table that assigns shards to aggregators.
@@ -56,6 +58,8 @@
 	connectFailures throttle.Limiter
 	// oversized limits how often oversized answers of a target are logged.
 	oversized throttle.Limiter
+	// unreadableLimits limits how often rejected rate limits of a target are logged.
+	unreadableLimits throttle.Limiter
 
 	group errgroup.Group
 	// sends runs the sends to targets. They may outlive the request that started them, and shutdown does not wait for
--- a/internal/entry/housekeeper.go
+++ b/internal/entry/housekeeper.go
@@ -136,6 +136,8 @@
 	d.options.Pool.Sweep(now, known)
 	h.selector.Retain(known)
 	h.gate.Retain(known)
+	d.limits.Retain(known)
+	d.logLimitedSends()
 	if n := d.options.DroppedLines(); n > 0 {
 		events.LogLinesDropped.Log(d.options.Log, zap.String("lines", strconv.FormatInt(n, 10)))
 	}
--- a/internal/events/event.go
+++ b/internal/events/event.go
@@ -65,6 +65,10 @@
 	TargetDown       = Event{822, "targetDown", Warn}
 	RequestCrashes   = Event{824, "requestCrashes", Error}
 	AnswerOverlong   = Event{825, "answerOverlong", Warn}
+	TargetLimited    = Event{826, "targetLimited", Info}
+	TargetUnlimited  = Event{827, "targetUnlimited", Info}
+	LimitUnreadable  = Event{828, "limitUnreadable", Warn}
+	LimitedSends     = Event{829, "limitedSends", Info}
 	DatagramFailed   = Event{830, "datagramFailed", Warn}
 	DatagramOdd      = Event{831, "datagramOdd", Warn}
 	MembersChanged   = Event{832, "membersChanged", Info}
@@ -85,7 +89,7 @@
 		PeerUnreachable, PeerQueueFull, TargetCold, TargetWarm, TargetLost, TargetBroke,
 		RequestSuspect, RequestRefused, BookingUnknown, ListenerFailed,
 		RequestEnded, PartsEnded, HolderSilent, StoreLost, StoreRegained, StoreRead, CopyTaken, CopyFailed, EntryForeign, OrdersTaken,
-		TargetPublished, TargetWithdrawn, TargetDown, RequestCrashes, AnswerOverlong,
+		TargetPublished, TargetWithdrawn, TargetDown, RequestCrashes, AnswerOverlong, TargetLimited, TargetUnlimited, LimitUnreadable, LimitedSends,
 		DatagramFailed, DatagramOdd, MembersChanged, ClockSuspended, SettingsReloaded, SettingsRefused,
 		LogLinesDropped, InterfaceFailed, WorkPanicked,
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -25,8 +25,10 @@
 	Inventory func() inventory.Inventory
 	// Workers runs the sends, which may outlast their job.
 	Workers *workers.Pool
-	// OnResult is called with the result of each send. It is optional.
-	OnResult func(r targetcall.Request, t inventory.Target, result targetcall.Result)
+	// OnSend is called before each send; additional is set for hedges and retries. It is optional.
+	OnSend func(t inventory.Target, additional bool)
+	// OnResult is called with the result of each send that started at the given time. It is optional.
+	OnResult func(r targetcall.Request, t inventory.Target, result targetcall.Result, startedAt time.Time)
 	// OnUnresponsive is called with a target that may be unresponsive because its answer takes much longer than the
 	// hedge delay. It is optional.
 	OnUnresponsive func(t inventory.Target)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -145,6 +145,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	fl := &flight{run: r, target: t, pending: f.Selector.Begin(r.job.class(), t, now), cancel: cancel, startedAt: now}
 	r.inFlight = append(r.inFlight, fl)
+	if f.OnSend != nil {
+		f.OnSend(t, r.sends > 0 || r.job.AlreadySent)
+	}
 	r.tried = append(r.tried, t.ID)
 	r.sends++
 	r.hedgeAt = now.Add(fl.pending.HedgeDelay())
@@ -155,7 +158,7 @@
 		cancelled := ctx.Err() != nil
 		fl.pending.End(result, cancelled, time.Now())
 		if f.OnResult != nil && !cancelled {
-			f.OnResult(call.Request, t, result)
+			f.OnResult(call.Request, t, result, now)
 		}
 		cancel()
 		results <- sendResult{flight: fl, result: result}
--- a/internal/targetcall/call.go
+++ b/internal/targetcall/call.go
@@ -46,6 +46,7 @@
 	// Signature proves which target answered which request; it is empty when the answer has none.
 	Signature string
 	Load      Load
+	RateLimit RateLimit
 }
 
 // Refused means that the target did not run the call and will not run it later.
@@ -53,6 +54,7 @@
 	// OtherIncarnation is set when another incarnation uses the target's address.
 	OtherIncarnation bool
 	Load             Load
+	RateLimit        RateLimit
 }
 
 // NotSent means that no byte of the call reached the target.
--- /dev/null
+++ b/internal/targetlimit/observation.go
@@ -0,0 +1,19 @@
+package targetlimit
+
+// Observation is the effect of a statement on a register: Unchanged, Changed or Rejected.
+type Observation interface{ observation() }
+
+// Unchanged means that the statement confirms what was known, or is older.
+type Unchanged struct{}
+
+// Changed means that the target's limit is new, different or gone.
+type Changed struct {
+	Before, After Statement
+}
+
+// Rejected means that the statement is unreadable or implausible and was ignored.
+type Rejected struct{ Text string }
+
+func (Unchanged) observation() {}
+func (Changed) observation()   {}
+func (Rejected) observation()  {}
