Fix: rate limits of targets hold over all daemons

Cause: no daemon read the limit. Class: a bound that holds over the fleet, while what tells of it reaches one daemon at a time.

Change: limits that a daemon receives are announced to all peers and repeated in gossip (targetlimit, gossip). Each send to such a target, first or hedge or retry, needs a permit from the one daemon that issues the target's permits at the rate of the limit (permitissuer), chosen by rendezvous hashing over the settled daemons of the target's zone (issuertable); permitclient asks it by datagram, takes a fallback when it does not reply and remembers denials. A request whose permit is denied goes to another target at once, or is refused with the time when a permit is expected. Issuing is central because an even share of 25 a second is a fraction of one at 139 daemons. An issuer that may not be alone issues a quarter, and a part of a partitioned fleet only its share, so that the sum stays below one and a half limits.

--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -21,6 +21,8 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/metrics"
 	"github.com/knapweedpoint/knapweedpoint/internal/peercopy"
+	"github.com/knapweedpoint/knapweedpoint/internal/permitclient"
+	"github.com/knapweedpoint/knapweedpoint/internal/permitissuer"
 	"github.com/knapweedpoint/knapweedpoint/internal/platformstate"
 	"github.com/knapweedpoint/knapweedpoint/internal/retrybudget"
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
@@ -48,10 +50,12 @@
 	do.ProvideValue(i, &split.Picker{})
 	do.ProvideValue(i, &crashguard.Guard{})
 	do.ProvideValue(i, &targetlimit.Register{})
+	do.ProvideValue(i, &permitissuer.Issuer{Table: &d.issuers})
 	do.ProvideValue(i, &blackboard.Cell[platformstate.State]{})
 	do.Provide(i, d.newRoster)
 	do.Provide(i, d.newGossiper)
 	do.Provide(i, d.newSyncer)
+	do.Provide(i, d.newPermitClient)
 	do.Provide(i, d.newForwarder)
 	do.Provide(i, d.newAggregator)
 	do.Provide(i, d.newAggregatorClient)
@@ -69,6 +73,8 @@
 	d.sync = syncer
 	d.guard = do.MustInvoke[*crashguard.Guard](d.injector)
 	d.limits = do.MustInvoke[*targetlimit.Register](d.injector)
+	d.permitIssuer = do.MustInvoke[*permitissuer.Issuer](d.injector)
+	d.permits = do.MustInvoke[*permitclient.Client](d.injector)
 	d.hints = &stallhint.Notifier{Broadcast: syncer.gossiper.Broadcast}
 	d.forwarder = do.MustInvoke[*forward.Forwarder](d.injector)
 	d.aggregator = do.MustInvoke[*aggregator.Aggregator](d.injector)
@@ -104,6 +110,7 @@
 	}
 	return &gossip.Gossiper{
 		Roster: do.MustInvoke[*roster.Roster](i), Conn: conn, Seeds: d.seeds, Receiver: d, Meter: d.options.Meter, Log: d.options.Log, OnPanic: d.panicked,
+		Limits:     d.gossipedLimits,
 		Advertised: func() (uint64, uint64) { return d.sync.syncer.Advertised() },
 	}, nil
 }
@@ -149,12 +156,24 @@
 	return &syncComponents{syncer: s, roster: r, gossiper: g, conn: g.Conn}, nil
 }
 
+func (d *Daemon) newPermitClient(i do.Injector) (*permitclient.Client, error) {
+	return &permitclient.Client{
+		Name:   d.Settings().Name,
+		Limits: do.MustInvoke[*targetlimit.Register](i),
+		Table:  &d.issuers,
+		Issuer: do.MustInvoke[*permitissuer.Issuer](i),
+		Send:   d.requestPermit,
+		Scope:  d.options.Scope,
+	}, nil
+}
+
 func (d *Daemon) newForwarder(i do.Injector) (*forward.Forwarder, error) {
 	return &forward.Forwarder{
 		Sender:         d.options.Sender,
 		Selector:       do.MustInvoke[*targetselect.Selector](i),
 		Gate:           do.MustInvoke[*sendgate.Gate](i),
 		Budget:         do.MustInvoke[*retrybudget.Budget](i),
+		Permits:        do.MustInvoke[*permitclient.Client](i),
 		Inventory:      func() inventory.Inventory { return d.State().Inventory },
 		Workers:        &d.sends,
 		OnSend:         func(t inventory.Target, additional bool) { d.limits.CountSend(t.ID, additional) },
--- a/internal/entry/changes.go
+++ b/internal/entry/changes.go
@@ -64,6 +64,8 @@
 	}
 	d.handleParts(from, m)
 	now := time.Now()
+	d.mergeLimits(from, m.GetLimits(), now)
+	d.handlePermits(from, m, now)
 	for _, x := range m.GetCrashes() {
 		d.guard.RecordPeerLoss(crashguard.Loss{Fingerprint: x.GetFingerprint(), Attempt: x.GetAttempt()}, now)
 	}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -22,6 +22,9 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossip"
+	"github.com/knapweedpoint/knapweedpoint/internal/issuertable"
+	"github.com/knapweedpoint/knapweedpoint/internal/permitclient"
+	"github.com/knapweedpoint/knapweedpoint/internal/permitissuer"
 	"github.com/knapweedpoint/knapweedpoint/internal/platformstate"
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
 	"github.com/knapweedpoint/knapweedpoint/internal/stallhint"
@@ -50,16 +53,22 @@
 	hints            *stallhint.Notifier
 	guard            *crashguard.Guard
 	limits           *targetlimit.Register
+	permits          *permitclient.Client
+	permitIssuer     *permitissuer.Issuer
 	aggregator       *aggregator.Aggregator
 	aggregatorClient *aggregatorclient.Client
 	// assignments holds the table that assigns shards to aggregators.
 	assignments blackboard.Cell[assignment.Table]
+	// issuers holds the table that assigns the targets with rate limits to issuers.
+	issuers blackboard.Cell[issuertable.Table]
 	// connectFailures limits how often a target that does not accept connections is logged and handled.
 	connectFailures throttle.Limiter
 	// oversized limits how often oversized answers of a target are logged.
 	oversized throttle.Limiter
 	// unreadableLimits limits how often rejected rate limits of a target are logged.
 	unreadableLimits throttle.Limiter
+	// limitAnnouncements limits how often the rate limit of a target is announced to peers.
+	limitAnnouncements throttle.Limiter
 
 	group errgroup.Group
 	// sends runs the sends to targets. They may outlive the request that started them, and shutdown does not wait for
@@ -77,7 +86,7 @@
 
 // New returns a daemon that has not been started.
 func New(o Options) (*Daemon, error) {
-	d := &Daemon{options: o}
+	d := &Daemon{options: o, limitAnnouncements: throttle.Limiter{Interval: announceInterval}}
 	d.sends.OnPanic = d.panicked
 	d.settings.Set(&o.Settings)
 	d.board.SetPhase(blackboard.Starting{})
--- a/internal/entry/housekeeper.go
+++ b/internal/entry/housekeeper.go
@@ -25,6 +25,12 @@
 	// minMembers is the minimum number of daemons among which the retry budget is divided, because a daemon that has just
 	// started knows few others.
 	minMembers = 8
+	// settleAfter is how long a daemon runs before its peers take it for an issuer of permits.
+	settleAfter = 2 * roster.LivenessTimeout
+	// handoverDivisor divides the time that an update of a member takes to reach all daemons; the result is how long a
+	// settled daemon issues only a share of each limit. If another daemon issues the whole limit for the rest of that
+	// time, the sum over 4 s stays below one and a half limits.
+	handoverDivisor = 2
 )
 
 // housekeeper does the periodic work: it updates what depends on the members, such as the shares of budgets, detects
@@ -44,6 +50,8 @@
 	assignedHomeZones, knownHomeZones   []string
 	homeZonesRevision, homeZonesVersion uint64
 	firstRound                          time.Time
+	// settled is set once this daemon has run for settleAfter.
+	settled bool
 }
 
 // Run runs a round at each interval until ctx ends.
@@ -80,6 +88,8 @@
 	h.assign(alive)
 	r := d.Settings().Rules
 	h.gate.SetMembers(d.Settings().Name, h.senders(now))
+	h.settle(now)
+	d.assignIssuers(alive, h.roster.RecentCount())
 	if table := d.State().OperatorState.Table; table != nil {
 		d.options.Pool.SetMaxIdle(d.connectionShare(len(alive)))
 		h.gate.SetRules(sendgate.Rules{Rates: table.ColdRates(), Overshoot: r.ColdOvershoot, Slack: r.ColdSlack})
@@ -114,6 +124,21 @@
 	return h.knownHomeZones
 }
 
+// settle lets this daemon issue permits once it has run for roster.LivenessTimeout, and makes it an issuer for its peers
+// after settleAfter. Until they all know that, another daemon may be issuing the same limits.
+func (h *housekeeper) settle(now time.Time) {
+	if h.settled {
+		return
+	}
+	settledAt := h.firstRound.Add(settleAfter)
+	handover := h.roster.UpdateDelay() / handoverDivisor
+	h.daemon.permitIssuer.SetStart(h.firstRound.Add(roster.LivenessTimeout), settledAt.Add(handover))
+	if !now.Before(settledAt) {
+		h.settled = true
+		h.roster.MarkSettled()
+	}
+}
+
 // senders returns the daemons that share a cold target's allowance. During the first roster.LivenessTimeout after its
 // start, this daemon cannot know the others, so the result is empty.
 func (h *housekeeper) senders(now time.Time) []string {
@@ -136,7 +161,7 @@
 	d.options.Pool.Sweep(now, known)
 	h.selector.Retain(known)
 	h.gate.Retain(known)
-	d.limits.Retain(known)
+	d.sweepLimits(known)
 	d.logLimitedSends()
 	if n := d.options.DroppedLines(); n > 0 {
 		events.LogLinesDropped.Log(d.options.Log, zap.String("lines", strconv.FormatInt(n, 10)))
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -3,20 +3,140 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
+	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/issuertable"
+	"github.com/knapweedpoint/knapweedpoint/internal/permit"
+	"github.com/knapweedpoint/knapweedpoint/internal/roster"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetlimit"
 )
 
-// answerSource is the source of a rate limit that this daemon received from the target itself.
-const answerSource = "answer"
+const (
+	// answerSource is the source of a rate limit that this daemon received from the target itself.
+	answerSource = "answer"
+	// retryUnknownTarget is when a peer may ask again for a permit of a target that this daemon does not know yet.
+	retryUnknownTarget = 100 * time.Millisecond
+	// limitsPerRound is the number of rate limits in the datagrams of one gossip round, at about 40 bytes each.
+	limitsPerRound = 16
+	// retainEnded is how long gossip passes on that a target has no rate limit any more.
+	retainEnded = 30 * time.Second
+	// announceInterval is the minimum time between two announcements of one target's limit.
+	announceInterval = 200 * time.Millisecond
+	// announceFrom is the smallest change that is announced to all peers at once, as a share of the limit. Gossip passes
+	// on smaller ones.
+	announceFrom = 0.1
+)
 
-// observeLimit records what a result states about the rate limit of its target.
+// observeLimit records what a result states about the rate limit of its target. Changes are announced to all peers,
+// because the limit binds all daemons and most of them have not received such an answer.
 func (d *Daemon) observeLimit(t inventory.Target, result targetcall.Result, startedAt, now time.Time) {
-	d.logLimit(t.ID, answerSource, d.limits.Observe(t, result, startedAt, now), now)
+	o := d.limits.Observe(t, result, startedAt, now)
+	d.logLimit(t.ID, answerSource, o, now)
+	if x, changed := o.(targetlimit.Changed); changed && x.Notable(announceFrom) && d.limitAnnouncements.Allow(t.ID, now) {
+		d.sync.gossiper.Broadcast(&gossippb.Datagram{Limits: []*gossippb.TargetLimit{encodeLimit(x.After, now)}})
+	}
+}
+
+// mergeLimits records the rate limits in a peer's datagram.
+func (d *Daemon) mergeLimits(from roster.Member, limits []*gossippb.TargetLimit, now time.Time) {
+	for _, l := range limits {
+		s := targetlimit.Statement{
+			Target: l.GetTarget(), StartMillis: l.GetBorn(), PerSecond: l.GetPerSecond(),
+			ObservedAt: now.Add(-time.Duration(l.GetAgeMillis()) * time.Millisecond),
+		}
+		d.logLimit(s.Target, from.Name, d.limits.Merge(s), now)
+	}
+}
+
+// gossipedLimits returns some of the rate limits in force and of those that ended a short while ago.
+func (d *Daemon) gossipedLimits() []*gossippb.TargetLimit {
+	now := time.Now()
+	known := lo.Samples(d.limits.Statements(now.Add(-retainEnded)), limitsPerRound)
+	return lo.Map(known, func(s targetlimit.Statement, _ int) *gossippb.TargetLimit { return encodeLimit(s, now) })
+}
+
+func encodeLimit(s targetlimit.Statement, now time.Time) *gossippb.TargetLimit {
+	return &gossippb.TargetLimit{
+		Target: s.Target, Born: s.StartMillis, PerSecond: s.PerSecond, AgeMillis: uint32(now.Sub(s.ObservedAt).Milliseconds()),
+	}
+}
+
+// requestPermit sends a request for a permit to its issuer, with the limit in case the issuer does not know it.
+func (d *Daemon) requestPermit(name string, r *gossippb.PermitRequest) {
+	if to, ok := d.sync.roster.Find(name); ok {
+		d.sync.gossiper.Send(to, &gossippb.Datagram{PermitRequest: r, Limits: d.knownLimit(r.GetTarget())})
+	}
+}
+
+func (d *Daemon) knownLimit(target string) []*gossippb.TargetLimit {
+	s, ok := d.limits.Find(target)
+	if !ok {
+		return nil
+	}
+	return []*gossippb.TargetLimit{encodeLimit(s, time.Now())}
+}
+
+// issuePermit replies to a peer's request for a permit, with the limit in case the peer's one is out of date.
+func (d *Daemon) issuePermit(from roster.Member, r *gossippb.PermitRequest, now time.Time) {
+	t, ok := d.State().Inventory.Target(r.GetTarget())
+	limit := d.limits.Limit(t)
+	reply := &gossippb.PermitReply{Id: r.GetId()}
+	switch {
+	case !ok:
+		reply.RetryMillis = uint32(retryUnknownTarget.Milliseconds())
+	case limit == 0:
+		reply.Granted = true
+	default:
+		switch x := d.permitIssuer.Issue(t, limit, now).(type) {
+		case permit.Granted:
+			reply.Granted = true
+		case permit.Denied:
+			reply.RetryMillis = uint32(x.RetryAfter.Milliseconds())
+		}
+	}
+	d.sync.gossiper.Send(from, &gossippb.Datagram{PermitReply: reply, Limits: d.knownLimit(r.GetTarget())})
+}
+
+// handlePermits handles a request for a permit, or the reply to one, in a peer's datagram.
+func (d *Daemon) handlePermits(from roster.Member, m *gossippb.Datagram, now time.Time) {
+	if r := m.GetPermitRequest(); r != nil {
+		d.issuePermit(from, r, now)
+	}
+	if r := m.GetPermitReply(); r != nil {
+		d.permits.HandleReply(from.Name, r)
+	}
+}
+
+// assignIssuers assigns the targets that have rate limits to issuers among the settled daemons, or among all live ones
+// if none is settled yet. recent is the number of daemons that were alive recently.
+func (d *Daemon) assignIssuers(alive []roster.Member, recent int) {
+	settled := lo.Filter(alive, func(m roster.Member, _ int) bool { return m.Settled })
+	if len(settled) == 0 {
+		settled = alive
+	}
+	members := lo.Map(settled, func(m roster.Member, _ int) issuertable.Member {
+		return issuertable.Member{Name: m.Name, AvailabilityZone: m.AvailabilityZone}
+	})
+	reachable := float64(len(alive)) / float64(max(recent, len(alive)))
+	if !d.issuers.Get().Same(members, reachable) {
+		d.issuers.Set(issuertable.New(d.Settings().Name, members, reachable))
+	}
+}
+
+// sweepLimits removes the rate limits of targets that are not known any more, and the permits of those without a limit.
+func (d *Daemon) sweepLimits(known func(target string) bool) {
+	d.limits.Retain(known)
+	limited := func(target string) bool {
+		s, ok := d.limits.Find(target)
+		return ok && s.Limited()
+	}
+	d.permitIssuer.Retain(limited)
+	d.permits.Retain(limited)
 }
 
 // logLimit logs a changed or rejected rate limit.
--- a/internal/forward/batch.go
+++ b/internal/forward/batch.go
@@ -10,6 +10,7 @@
 	forwarder *Forwarder
 	runs      []run
 	results   chan sendResult
+	decisions chan permitDecision
 	timer     *time.Timer
 	// finished holds the indexes of the runs that have ended and have not been returned yet.
 	finished []int
@@ -29,6 +30,7 @@
 		forwarder: f,
 		runs:      make([]run, len(jobs)),
 		results:   make(chan sendResult, len(jobs)*maxSends),
+		decisions: make(chan permitDecision, len(jobs)*maxPermitRequests),
 		timer:     time.NewTimer(time.Hour),
 	}
 	now := time.Now()
@@ -56,6 +58,9 @@
 		case s := <-b.results:
 			r := s.flight.run
 			b.finish(r, r.handleResult(s, time.Now()))
+		case d := <-b.decisions:
+			r := &b.runs[d.index]
+			b.finish(r, r.handleDecision(d, time.Now()))
 		case now := <-b.timer.C:
 			if !wake.IsZero() && !now.Before(wake) {
 				return nil
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/permitclient"
 	"github.com/knapweedpoint/knapweedpoint/internal/retrybudget"
 	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
 	"github.com/knapweedpoint/knapweedpoint/internal/sendgate"
@@ -21,6 +22,8 @@
 	Selector *targetselect.Selector
 	Gate     *sendgate.Gate
 	Budget   *retrybudget.Budget
+	// Permits obtains permits for targets that have a rate limit. It is optional; without it limits are ignored.
+	Permits *permitclient.Client
 	// Inventory returns the targets that are currently known.
 	Inventory func() inventory.Inventory
 	// Workers runs the sends, which may outlast their job.
@@ -68,7 +71,7 @@
 func (f *Forwarder) Reachable(service string) bool {
 	now := time.Now()
 	for _, t := range f.Gate.Eligible(f.Inventory().ByService(service), now) {
-		if !f.Selector.Ejected(t, now) {
+		if !f.Selector.Ejected(t, now) && f.Permits.Denied(t, now) == 0 {
 			return true
 		}
 	}
--- a/internal/forward/job.go
+++ b/internal/forward/job.go
@@ -77,6 +77,7 @@
 	ReasonCallerGone       = "callerGone"
 	ReasonConnectionBroken = "connectionBroken"
 	ReasonRetryBudget      = "retryBudget"
+	ReasonTargetsLimited   = "targetsLimited"
 )
 
 // Trace records the sends of a job for the log.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -41,6 +41,7 @@
 	// attemptsUsed counts the sends that have run or may have run.
 	attemptsUsed int
 	sends        int
+	permits      permitState
 	// lastFailure is the outcome to return when nothing is left to try.
 	lastFailure Outcome
 	// outcome is set once the job has ended.
@@ -113,8 +114,21 @@
 	if r.sends >= maxSends || r.attemptsUsed+len(r.inFlight) >= max(r.job.Route.Attempts, 1) {
 		return false
 	}
+	if r.permits.waiting {
+		r.permits.hedge = false
+		return true
+	}
+	if allowTried {
+		r.permits.denied = nil
+	}
 	selection, ok := r.pick(allowTried, now)
-	if !ok || !r.batch.forwarder.Gate.Admit(selection.Target, now) {
+	if !ok {
+		return false
+	}
+	if r.batch.forwarder.Permits.Required(selection.Target) {
+		return r.requestPermit(selection.Target, false, now)
+	}
+	if !r.batch.forwarder.Gate.Admit(selection.Target, now) {
 		return false
 	}
 	r.send(selection.Target, now)
@@ -135,7 +149,7 @@
 	if !allowTried && len(r.tried) > 0 {
 		eligible = lo.Reject(eligible, func(t inventory.Target, _ int) bool { return lo.Contains(r.tried, t.ID) })
 	}
-	return f.Selector.Pick(r.job.class(), f.Selector.Candidates(eligible, now), now)
+	return f.Selector.Pick(r.job.class(), f.Selector.Candidates(r.permits.candidates(f, eligible, now), now), now)
 }
 
 func (r *run) send(t inventory.Target, now time.Time) {
@@ -212,10 +226,16 @@
 	if arrived && !r.batch.forwarder.Budget.Spend(r.job.Service, now) {
 		return r.failure()
 	}
+	return r.tryNext(now)
+}
+
+// tryNext sends to a target that has not been tried, or schedules another round over all targets if those that were
+// sent to refused the request.
+func (r *run) tryNext(now time.Time) Outcome {
 	if r.launch(false, now) {
 		return nil
 	}
-	if r.lastFailure == nil && r.sends < maxSends && r.backOff(now) {
+	if r.lastFailure == nil && r.sends > 0 && r.sends < maxSends && r.backOff(now) {
 		return nil
 	}
 	return r.failure()
@@ -243,7 +263,7 @@
 	f := r.batch.forwarder
 	latest := r.inFlight[len(r.inFlight)-1]
 	r.reportUnresponsive(now)
-	if !r.job.Route.Idempotent || len(r.inFlight) > 1 {
+	if !r.job.Route.Idempotent || len(r.inFlight) > 1 || r.permits.waiting {
 		return
 	}
 	r.hedgeAt = now.Add(latest.pending.HedgeDelay() / 2)
@@ -258,11 +278,21 @@
 	if !ok || selection.Expected > now.Sub(latest.startedAt)*2 || f.Selector.Ejected(selection.Target, now) {
 		return
 	}
-	if !f.Gate.Admit(selection.Target, now) || !f.Budget.Spend(r.job.Service, now) {
+	if f.Permits.Required(selection.Target) {
+		r.requestPermit(selection.Target, true, now)
+		return
+	}
+	r.sendHedge(selection.Target, now)
+}
+
+// sendHedge sends to another target if the gate and the retry budget allow it.
+func (r *run) sendHedge(t inventory.Target, now time.Time) {
+	f := r.batch.forwarder
+	if !f.Gate.Admit(t, now) || !f.Budget.Spend(r.job.Service, now) {
 		return
 	}
 	r.trace.Hedged++
-	r.send(selection.Target, now)
+	r.send(t, now)
 }
 
 // reportUnresponsive reports the targets whose answers take much longer than the hedge delay. Most targets that
@@ -283,6 +313,9 @@
 	if r.lastFailure != nil {
 		return r.lastFailure
 	}
+	if r.permits.wasDenied {
+		return NotRun{Reason: ReasonTargetsLimited, RetryAfter: max(r.permits.retryAfter, minBackoff)}
+	}
 	if r.sends == 0 {
 		return NotRun{Reason: ReasonNoTarget, RetryAfter: retryAfterNoTarget}
 	}
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -55,6 +55,8 @@
 	// Advertised returns what this daemon advertises to its peers: the version of its configuration, or 0 while it has
 	// none, and the revision after which its history of target changes is complete.
 	Advertised func() (version, since uint64)
+	// Limits returns rate limits of targets that each gossip round passes on. It is optional.
+	Limits func() []*gossippb.TargetLimit
 	// Meter counts the bytes sent; it may be nil.
 	Meter *traffic.Meter
 	Log   *zap.Logger
@@ -91,6 +93,9 @@
 		Known:   uint32(len(g.Roster.Peers(now)) + 1),
 		Members: lo.Map(g.Roster.MostRecentlySeen(sampleSize, now), func(m roster.Member, _ int) *gossippb.Member { return encodeMember(m.WithoutAddress()) }),
 	}
+	if g.Limits != nil {
+		d.Limits = g.Limits()
+	}
 	for _, p := range g.Roster.SamplePreferringZone(fanOut, now) {
 		g.send(p, d)
 	}
@@ -160,7 +165,9 @@
 		return traffic.Calls
 	case d.GetPush() != nil:
 		return traffic.Pushes
-	case len(d.GetStalls()) > 0 || len(d.GetCrashes()) > 0:
+	case d.GetPermitRequest() != nil || d.GetPermitReply() != nil:
+		return traffic.Calls
+	case d.GetKnown() == 0 && (len(d.GetStalls()) > 0 || len(d.GetCrashes()) > 0 || len(d.GetLimits()) > 0):
 		return traffic.Hints
 	default:
 		return traffic.Gossip
@@ -242,6 +249,7 @@
 	return &gossippb.Member{
 		Name: m.Name, Address: m.Address, Copies: m.CopyAddress, AvailabilityZone: m.AvailabilityZone,
 		Incarnation: m.Incarnation, Beat: m.Heartbeat, Leaving: m.Leaving, Capacity: m.Capacity,
+		Settled: m.Settled,
 	}
 }
 
@@ -249,5 +257,6 @@
 	return roster.Member{
 		Name: m.GetName(), Address: m.GetAddress(), CopyAddress: m.GetCopies(), AvailabilityZone: m.GetAvailabilityZone(),
 		Incarnation: m.GetIncarnation(), Heartbeat: m.GetBeat(), Leaving: m.GetLeaving(), Capacity: m.GetCapacity(),
+		Settled: m.GetSettled(),
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -38,6 +38,8 @@
 	Leaving   bool
 	// Capacity is the member's CPU capacity in thousandths of a core, or 0 if it is unknown.
 	Capacity uint32
+	// Settled is set once the member has run long enough to know the others.
+	Settled bool
 }
 
 // newer reports whether m is more recent than o, a record of the same daemon.
@@ -94,6 +96,21 @@
 	r.self.Leaving = true
 }
 
+// MarkSettled marks the daemon itself as settled.
+func (r *Roster) MarkSettled() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.self.Settled = true
+}
+
+// UpdateDelay returns how long an update of a member takes to reach all others: the time after which a member without
+// any counts as dead.
+func (r *Roster) UpdateDelay() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.livenessTimeout()
+}
+
 // Merge adds members received from another daemon and keeps the newer record of each.
 func (r *Roster) Merge(ms []Member, now time.Time) {
 	r.mu.Lock()
@@ -167,6 +184,14 @@
 	return names
 }
 
+// RecentCount returns the number of daemons that were alive within the last minute and have not left, including the
+// daemon itself.
+func (r *Roster) RecentCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return 1 + lo.CountBy(lo.Values(r.known), func(rec record) bool { return !rec.member.Leaving })
+}
+
 // Sample returns up to n random live members, including those that are leaving.
 func (r *Roster) Sample(n int, now time.Time) []Member {
 	return r.sample(n, now, func([]record) {})
--- a/internal/targetlimit/observation.go
+++ b/internal/targetlimit/observation.go
@@ -1,5 +1,7 @@
 package targetlimit
 
+import "math"
+
 // Observation is the effect of a statement on a register: Unchanged, Changed or Rejected.
 type Observation interface{ observation() }
 
@@ -11,6 +13,12 @@
 	Before, After Statement
 }
 
+// Notable reports whether the limit is new or gone, or has changed by at least the given share of what it was.
+func (c Changed) Notable(share float64) bool {
+	return !c.Before.Limited() || !c.After.Limited() ||
+		math.Abs(c.After.PerSecond-c.Before.PerSecond) >= share*c.Before.PerSecond
+}
+
 // Rejected means that the statement is unreadable or implausible and was ignored.
 type Rejected struct{ Text string }
 
--- a/internal/targetlimit/register.go
+++ b/internal/targetlimit/register.go
@@ -109,12 +109,12 @@
 	return s.PerSecond
 }
 
-// Statements returns the statements that were observed after the given time.
-func (r *Register) Statements(after time.Time) []Statement {
+// Statements returns the limits in force, and the statements of no limit that were observed after the given time.
+func (r *Register) Statements(endedAfter time.Time) []Statement {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return lo.FilterMap(lo.Values(r.records), func(rec *record, _ int) (Statement, bool) {
-		return rec.statement, rec.statement.ObservedAt.After(after)
+		return rec.statement, rec.statement.Limited() || rec.statement.ObservedAt.After(endedAfter)
 	})
 }
 
