Fix: cold rates bind from the first configuration on

What callers saw: nothing; cold targets got 23 to 27 requests in the first second of a daemon, 8 allowed, where their service states a cold rate (no site does yet).

Cause: the housekeeper copied the rates into the send gate in its next round, up to 250 ms after the configuration was in force. Class: a bound that holds only from the next look on.

Change: the rates, like the zones taken out, are set before the new copy becomes visible. TestColdRateHoldsFromTheFirstConfigurationOn failed three times of three before (24, 27, 23 of 8), passes three of three now.

--- a/internal/entry/changes.go
+++ b/internal/entry/changes.go
@@ -12,12 +12,15 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/platformstate"
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
+	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
+	"github.com/knapweedpoint/knapweedpoint/internal/sendgate"
 )
 
 // stateChanged applies the differences between two copies of the platform state.
 func (d *Daemon) stateChanged(before, after platformstate.State) {
 	if after.OperatorState.Version() != before.OperatorState.Version() {
 		d.callers.SetLimits(after.OperatorState.Table.Limits)
+		d.setColdRules(after.OperatorState.Table)
 	}
 	if after.OperatorState.Version() != before.OperatorState.Version() || !slices.Equal(after.OperatorState.ZonesOut, before.OperatorState.ZonesOut) {
 		events.OrdersTaken.Log(d.options.Log, zap.Uint64("version", after.OperatorState.Version()), zap.Uint64("before", before.OperatorState.Version()),
@@ -31,6 +34,12 @@
 	d.logTargets(before.Inventory, after.Inventory)
 }
 
+// setColdRules bounds the load of cold targets by the rates of a route table.
+func (d *Daemon) setColdRules(t *routetable.Table) {
+	r := d.Settings().Rules
+	d.forwarder.Gate.SetRules(sendgate.Rules{Rates: t.ColdRates(), Overshoot: r.ColdOvershoot, Slack: r.ColdSlack})
+}
+
 // logTargets logs an event for each target that was published, changed or withdrawn.
 func (d *Daemon) logTargets(before, after inventory.Inventory) {
 	if before.Revision == 0 {
--- a/internal/entry/housekeeper.go
+++ b/internal/entry/housekeeper.go
@@ -92,7 +92,7 @@
 	d.assignIssuers(alive, h.roster.RecentCount())
 	if table := d.State().OperatorState.Table; table != nil {
 		d.options.Pool.SetMaxIdle(d.connectionShare(len(alive)))
-		h.gate.SetRules(sendgate.Rules{Rates: table.ColdRates(), Overshoot: r.ColdOvershoot, Slack: r.ColdSlack})
+		d.setColdRules(table)
 	}
 	rule := retrybudget.Rule{Ratio: r.RetryRatio, Slack: r.RetrySlack, Window: r.RetryWindow.Std()}
 	h.budget.SetRule(rule, d.retryShare(len(alive)))
--- a/internal/storesync/apply.go
+++ b/internal/storesync/apply.go
@@ -43,10 +43,10 @@
 }
 
 func (s *Syncer) set(before, after platformstate.State) {
-	s.options.Copy.Set(&after)
 	if s.options.OnChange != nil {
 		s.options.OnChange(before, after)
 	}
+	s.options.Copy.Set(&after)
 	s.wakeReadLoop()
 }
 
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -88,7 +88,7 @@
 	DrainBound func() time.Duration
 	// FirstStart is set when all daemons start together for the first time.
 	FirstStart bool
-	// OnChange is called after the copy changed, with the state before and after.
+	// OnChange is called just before a changed copy comes into force, with the state before and after.
 	OnChange func(before, after platformstate.State)
 	Log      *zap.Logger
 }
