Fix: daemons that start later know which requests crash targets

What callers saw: nothing; a request that had crashed three targets was sent again by each daemon that had started since, and could crash more.

Cause: a loss is told to the peers that are alive at that moment, once. The class is that of the rate limits: a bound of the fleet that rests on what reached one daemon.

Change: gossip rounds carry the losses of up to four refused requests with their age, so a daemon learns of them within its first rounds; passing on does not extend a suspicion.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
 )
@@ -22,6 +23,9 @@
 	confirmWithin = 3 * time.Second
 	// SuspicionTTL is the time after its latest loss at which a suspicion expires; callers repeat a request within seconds.
 	SuspicionTTL = 2 * time.Minute
+	// sameLossWithin is the difference up to which the times of one loss may be due to the delay of datagrams. Otherwise
+	// daemons that pass on a loss to each other would extend its suspicion.
+	sameLossWithin = time.Second
 	// maxSuspects bounds the suspicions that are retained; at the bound the oldest is evicted.
 	maxSuspects = 4096
 )
@@ -88,11 +92,40 @@
 	return out
 }
 
-// RecordPeerLoss counts a loss that a peer has confirmed.
-func (g *Guard) RecordPeerLoss(l Loss, now time.Time) {
+// RecordPeerLoss counts a loss that a peer confirmed at the given time, unless a target has answered the request since.
+// It reports whether the loss is new.
+func (g *Guard) RecordPeerLoss(l Loss, at time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.count(l, now)
+	if g.answered[l.Fingerprint].After(at) {
+		return false
+	}
+	s := g.suspects[l.Fingerprint]
+	known := s != nil && s.attempts[l.Attempt]
+	if known && at.Sub(s.lastLoss) < sameLossWithin {
+		return false
+	}
+	g.count(l, at)
+	return !known
+}
+
+// Quarantined returns up to n requests that are refused: RefuseThreshold losses of each, with the time of the latest.
+func (g *Guard) Quarantined(n int, now time.Time) map[Loss]time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := map[Loss]time.Time{}
+	for fingerprint, s := range g.suspects {
+		if len(out) >= n*RefuseThreshold {
+			break
+		}
+		if len(s.attempts) < RefuseThreshold || now.Sub(s.lastLoss) > SuspicionTTL {
+			continue
+		}
+		for _, attempt := range lo.Keys(s.attempts)[:RefuseThreshold] {
+			out[Loss{Fingerprint: fingerprint, Attempt: attempt}] = s.lastLoss
+		}
+	}
+	return out
 }
 
 // RecordAnswer clears a request that a target has answered: a request that crashes its targets is never answered.
@@ -128,7 +161,9 @@
 		g.suspects[l.Fingerprint] = s
 	}
 	s.attempts[l.Attempt] = true
-	s.lastLoss = now
+	if now.After(s.lastLoss) {
+		s.lastLoss = now
+	}
 }
 
 // expireBroken removes the broken calls that were not confirmed in time.
--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -101,3 +101,37 @@
 		require.NotEqual(t, crashguard.Fingerprint(one), crashguard.Fingerprint(other))
 	}
 }
+
+// Two daemons pass on their refused requests to each other in each gossip round.
+func TestSuspicionThatDaemonsPassOnExpires(t *testing.T) {
+	var a, b crashguard.Guard
+	now := time.Now()
+	for i := range 2 * crashguard.RefuseThreshold {
+		crash(&a, fmt.Sprint("t", i), fmt.Sprint("r", i), now, crasher)
+	}
+	passOn := func(from, to *crashguard.Guard) {
+		for l, at := range from.Quarantined(4, now) {
+			to.RecordPeerLoss(l, at.Add(2*time.Millisecond))
+		}
+	}
+	passOn(&a, &b)
+	require.True(t, b.Refuses(crasher, now))
+	for end := now.Add(crashguard.SuspicionTTL + time.Second); now.Before(end); now = now.Add(400 * time.Millisecond) {
+		passOn(&a, &b)
+		passOn(&b, &a)
+	}
+	now = now.Add(2 * time.Second)
+	require.False(t, a.Refuses(crasher, now))
+	require.False(t, b.Refuses(crasher, now))
+	require.Empty(t, a.Quarantined(4, now))
+}
+
+func TestPeerLossOfAnAnsweredRequestIsIgnored(t *testing.T) {
+	var g crashguard.Guard
+	now := time.Now()
+	g.RecordAnswer(harmless, now)
+	for i := range crashguard.RefuseThreshold {
+		require.False(t, g.RecordPeerLoss(crashguard.Loss{Fingerprint: harmless, Attempt: fmt.Sprint("r", i)}, now.Add(-time.Second)))
+	}
+	require.False(t, g.Refuses(harmless, now))
+}
--- a/internal/entry/changes.go
+++ b/internal/entry/changes.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/knapweedpoint/knapweedpoint/internal/crashguard"
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
@@ -75,9 +74,7 @@
 	now := time.Now()
 	d.mergeLimits(from, m.GetLimits(), now)
 	d.handlePermits(from, m, now)
-	for _, x := range m.GetCrashes() {
-		d.guard.RecordPeerLoss(crashguard.Loss{Fingerprint: x.GetFingerprint(), Attempt: x.GetAttempt()}, now)
-	}
+	d.mergeCrashes(from, m.GetCrashes(), now)
 	for _, x := range m.GetStalls() {
 		if t, ok := d.State().Inventory.Target(x.GetTarget()); ok {
 			d.forwarder.Selector.RecordStallHint(t, from.Name, now)
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -12,9 +12,13 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/roster"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
 )
 
+// crashesPerRound is the number of refused requests in the datagrams of one gossip round, at about 100 bytes each.
+const crashesPerRound = 4
+
 // observeResult updates the crash guard, the rate limits, the logs and the pool with the result of a send.
 func (d *Daemon) observeResult(r targetcall.Request, t inventory.Target, result targetcall.Result, startedAt time.Time) {
 	now := time.Now()
@@ -65,6 +69,25 @@
 	})})
 }
 
+// mergeCrashes counts the losses in a peer's datagram.
+func (d *Daemon) mergeCrashes(from roster.Member, crashes []*gossippb.Crash, now time.Time) {
+	for _, c := range crashes {
+		l := crashguard.Loss{Fingerprint: c.GetFingerprint(), Attempt: c.GetAttempt()}
+		if d.guard.RecordPeerLoss(l, now.Add(-time.Duration(c.GetAgeMillis())*time.Millisecond)) {
+			events.RequestSuspect.Log(d.options.Log, zap.Uint64("fingerprint", l.Fingerprint), zap.String("request", l.Attempt),
+				zap.String("source", from.Name))
+		}
+	}
+}
+
+// gossipedCrashes returns the losses of some refused requests, for daemons that started after these were confirmed.
+func (d *Daemon) gossipedCrashes() []*gossippb.Crash {
+	now := time.Now()
+	return lo.MapToSlice(d.guard.Quarantined(crashesPerRound, now), func(l crashguard.Loss, at time.Time) *gossippb.Crash {
+		return &gossippb.Crash{Fingerprint: l.Fingerprint, Attempt: l.Attempt, AgeMillis: uint32(now.Sub(at).Milliseconds())}
+	})
+}
+
 // refuses reports whether a request is refused because it has repeatedly crashed its targets.
 func (d *Daemon) refuses(r targetcall.Request) bool {
 	f := crashguard.Fingerprint(r)
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -55,8 +55,10 @@
 	// Advertised returns what this daemon advertises to its peers: the version of its configuration, or 0 while it has
 	// none, and the revision after which its history of target changes is complete.
 	Advertised func() (version, since uint64)
-	// Limits returns rate limits of targets that each gossip round passes on. It is optional.
-	Limits func() []*gossippb.TargetLimit
+	// Limits returns the rate limits of targets, and Crashes the losses of refused requests, that each gossip round passes
+	// on. Both are optional.
+	Limits  func() []*gossippb.TargetLimit
+	Crashes func() []*gossippb.Crash
 	// Meter counts the bytes sent; it may be nil.
 	Meter *traffic.Meter
 	Log   *zap.Logger
@@ -96,6 +98,9 @@
 	if g.Limits != nil {
 		d.Limits = g.Limits()
 	}
+	if g.Crashes != nil {
+		d.Crashes = g.Crashes()
+	}
 	for _, p := range g.Roster.SamplePreferringZone(fanOut, now) {
 		g.send(p, d)
 	}
--- a/internal/gossip/gossiper_test.go
+++ b/internal/gossip/gossiper_test.go
@@ -121,6 +121,22 @@
 	}
 }
 
+// What binds the whole fleet is divided by the number of daemons that each of them knows, once it has run for
+// roster.LivenessTimeout. The margin of the cold allowance, a fifth, must cover daemons that know too few by then.
+func TestSharesOfAStartingFleetAddUpToOne(t *testing.T) {
+	const coldAllowanceShare = 0.8
+	for _, n := range []int{13, 139, 295} {
+		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rosters, _ := runFleet(n, roster.LivenessTimeout)
+				now := time.Now()
+				sum := lo.SumBy(rosters, func(r *roster.Roster) float64 { return 1 / float64(len(r.Alive(now))) })
+				require.LessOrEqual(t, sum, 1/coldAllowanceShare)
+			})
+		})
+	}
+}
+
 // An aggregator is stopping. The other daemons must not send it queries after it has gone.
 func TestLeaveReachesAllPeersAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
