Permits: one at once for a limit that was just stated, settled daemons are announced

A limit of 0.01 that a target states once by mistake kept it without requests for up to 100 s: the answers under way do not end it, and the next permit was due only then.

--- a/internal/entry/housekeeper.go
+++ b/internal/entry/housekeeper.go
@@ -27,10 +27,9 @@
 	minMembers = 8
 	// settleAfter is how long a daemon runs before its peers take it for an issuer of permits.
 	settleAfter = 2 * roster.LivenessTimeout
-	// handoverDivisor divides the time that an update of a member takes to reach all daemons; the result is how long a
-	// settled daemon issues only a share of each limit. If another daemon issues the whole limit for the rest of that
-	// time, the sum over 4 s stays below one and a half limits.
-	handoverDivisor = 2
+	// handover is how long a settled daemon issues only a share of each limit. Another daemon that has missed the
+	// announcement may issue the whole limit for as long again, and the sum over 4 s stays below one and a half limits.
+	handover = roster.LivenessTimeout / 2
 )
 
 // housekeeper does the periodic work: it updates what depends on the members, such as the shares of budgets, detects
@@ -125,17 +124,16 @@
 }
 
 // settle lets this daemon issue permits once it has run for roster.LivenessTimeout, and makes it an issuer for its peers
-// after settleAfter. Until they all know that, another daemon may be issuing the same limits.
+// after settleAfter.
 func (h *housekeeper) settle(now time.Time) {
 	if h.settled {
 		return
 	}
 	settledAt := h.firstRound.Add(settleAfter)
-	handover := h.roster.UpdateDelay() / handoverDivisor
 	h.daemon.permitIssuer.SetStart(h.firstRound.Add(roster.LivenessTimeout), settledAt.Add(handover))
 	if !now.Before(settledAt) {
 		h.settled = true
-		h.roster.MarkSettled()
+		h.daemon.sync.gossiper.AnnounceSettled()
 	}
 }
 
--- a/internal/forward/permits_test.go
+++ b/internal/forward/permits_test.go
@@ -12,6 +12,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
+	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/issuertable"
 	"github.com/knapweedpoint/knapweedpoint/internal/permitclient"
 	"github.com/knapweedpoint/knapweedpoint/internal/permitissuer"
@@ -20,17 +21,20 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/targetlimit"
 )
 
-// limit makes the targets state a limit; the fixture's daemon, or a peer that never replies, issues their permits.
+// limit makes the targets state a limit; the fixture's daemon, or a peer that never replies, issues their permits. The
+// permit that is available at once is taken.
 func (x *fixture) limit(perSecond float64, silentIssuer bool, targets ...string) {
 	issuer := lo.Ternary(silentIssuer, "peer", "vm")
 	table := &blackboard.Cell[issuertable.Table]{}
 	table.Set(issuertable.New("vm", []issuertable.Member{{Name: issuer}}, 1))
 	limits := &targetlimit.Register{}
+	permits := &permitissuer.Issuer{Table: table}
 	for _, t := range targets {
+		permits.Issue(inventory.Target{ID: t}, perSecond, time.Now())
 		limits.Merge(targetlimit.Statement{Target: t, PerSecond: perSecond, ObservedAt: time.Now()})
 	}
 	x.forwarder.Permits = &permitclient.Client{
-		Name: "vm", Limits: limits, Table: table, Issuer: &permitissuer.Issuer{Table: table}, Send: func(string, *gossippb.PermitRequest) {},
+		Name: "vm", Limits: limits, Table: table, Issuer: permits, Send: func(string, *gossippb.PermitRequest) {},
 	}
 }
 
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -128,6 +128,15 @@
 	g.Broadcast(&gossippb.Datagram{})
 }
 
+// AnnounceSettled notifies all live peers at once that this daemon is settled.
+func (g *Gossiper) AnnounceSettled() {
+	g.Roster.MarkSettled()
+	self := encodeMember(g.Roster.AdvanceHeartbeat())
+	for _, p := range g.Roster.Peers(time.Now()) {
+		g.send(p, &gossippb.Datagram{Self: self})
+	}
+}
+
 // Send sends a datagram to one daemon, with this daemon's addresses in case that daemon does not know them.
 func (g *Gossiper) Send(to roster.Member, d *gossippb.Datagram) {
 	d.Self = encodeMember(g.Roster.Self())
--- a/internal/permitclient/fleet_test.go
+++ b/internal/permitclient/fleet_test.go
@@ -106,7 +106,9 @@
 
 // first returns the first issuer of the target.
 func (f *fleet) first() *member {
-	m, _ := lo.Find(f.members, func(m *member) bool { return !m.frozen.Load() && m.table.Get().Rank(target.ID, target.AvailabilityZone) == 0 })
+	m, _ := lo.Find(f.members, func(m *member) bool {
+		return !m.frozen.Load() && m.table.Get().Rank(target.ID, target.AvailabilityZone) == 0
+	})
 	return m
 }
 
--- a/internal/permitissuer/issuer.go
+++ b/internal/permitissuer/issuer.go
@@ -55,14 +55,15 @@
 	return i.bucket(t.ID, now).take(rate, now)
 }
 
-// bucket returns the bucket of a target; a new one is empty.
+// bucket returns the bucket of a target. A new one has one permit, so that the next answer confirms or ends a limit that
+// was just stated, however low it is.
 func (i *Issuer) bucket(target string, now time.Time) *bucket {
 	b := i.buckets[target]
 	if b == nil {
 		if i.buckets == nil {
 			i.buckets = map[string]*bucket{}
 		}
-		b = &bucket{updatedAt: now}
+		b = &bucket{permits: 1, updatedAt: now}
 		i.buckets[target] = b
 	}
 	return b
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -103,14 +103,6 @@
 	r.self.Settled = true
 }
 
-// UpdateDelay returns how long an update of a member takes to reach all others: the time after which a member without
-// any counts as dead.
-func (r *Roster) UpdateDelay() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.livenessTimeout()
-}
-
 // Merge adds members received from another daemon and keeps the newer record of each.
 func (r *Roster) Merge(ms []Member, now time.Time) {
 	r.mu.Lock()
--- a/internal/targetlimit/statement.go
+++ b/internal/targetlimit/statement.go
@@ -6,7 +6,7 @@
 	// minPerSecond and maxPerSecond bound the plausible limits. A lower one would stop a target, and a higher one is
 	// more than a target can take.
 	minPerSecond = 0.01
-	maxPerSecond = 1e6
+	maxPerSecond = 1e5
 )
 
 // Statement is what one incarnation of a target stated about its rate limit; it is immutable.
