--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -9,8 +9,6 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
-	"github.com/knapweedpoint/knapweedpoint/internal/issuertable"
-	"github.com/knapweedpoint/knapweedpoint/internal/permit"
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetlimit"
@@ -19,8 +17,6 @@
 const (
 	// answerSource is the source of a rate limit that this daemon received from the target itself.
 	answerSource = "answer"
-	// retryUnknownTarget is when a peer may ask again for a permit of a target that this daemon does not know yet.
-	retryUnknownTarget = 100 * time.Millisecond
 	// limitsPerRound is the number of rate limits in the datagrams of one gossip round, at about 40 bytes each.
 	limitsPerRound = 16
 	// retainEnded is how long gossip passes on that a target has no rate limit any more.
@@ -66,13 +62,7 @@
 	}
 }
 
-// requestPermit sends a request for a permit to its issuer, with the limit in case the issuer does not know it.
-func (d *Daemon) requestPermit(name string, r *gossippb.PermitRequest) {
-	if to, ok := d.sync.roster.Find(name); ok {
-		d.sync.gossiper.Send(to, &gossippb.Datagram{PermitRequest: r, Limits: d.knownLimit(r.GetTarget())})
-	}
-}
-
+// knownLimit returns what this daemon knows of the rate limit of a target, for a message about its permits.
 func (d *Daemon) knownLimit(target string) []*gossippb.TargetLimit {
 	s, ok := d.limits.Find(target)
 	if !ok {
@@ -81,64 +71,6 @@
 	return []*gossippb.TargetLimit{encodeLimit(s, time.Now())}
 }
 
-// issuePermit replies to a peer's request for a permit, with the limit in case the peer's one is out of date.
-func (d *Daemon) issuePermit(from roster.Member, r *gossippb.PermitRequest, now time.Time) {
-	t, ok := d.State().Inventory.Target(r.GetTarget())
-	limit := d.limits.Limit(t)
-	reply := &gossippb.PermitReply{Id: r.GetId()}
-	switch {
-	case !ok:
-		reply.RetryMillis = uint32(retryUnknownTarget.Milliseconds())
-	case limit == 0:
-		reply.Granted = true
-	default:
-		switch x := d.permitIssuer.Issue(t, limit, now).(type) {
-		case permit.Granted:
-			reply.Granted = true
-		case permit.Denied:
-			reply.RetryMillis = uint32(x.RetryAfter.Milliseconds())
-		}
-	}
-	d.sync.gossiper.Send(from, &gossippb.Datagram{PermitReply: reply, Limits: d.knownLimit(r.GetTarget())})
-}
-
-// handlePermits handles a request for a permit, or the reply to one, in a peer's datagram.
-func (d *Daemon) handlePermits(from roster.Member, m *gossippb.Datagram, now time.Time) {
-	if r := m.GetPermitRequest(); r != nil {
-		d.issuePermit(from, r, now)
-	}
-	if r := m.GetPermitReply(); r != nil {
-		d.permits.HandleReply(from.Name, r)
-	}
-}
-
-// assignIssuers assigns the targets that have rate limits to issuers among the settled daemons, or among all live ones
-// if none is settled yet. recent is the number of daemons that were alive recently.
-func (d *Daemon) assignIssuers(alive []roster.Member, recent int) {
-	settled := lo.Filter(alive, func(m roster.Member, _ int) bool { return m.Settled })
-	if len(settled) == 0 {
-		settled = alive
-	}
-	members := lo.Map(settled, func(m roster.Member, _ int) issuertable.Member {
-		return issuertable.Member{Name: m.Name, AvailabilityZone: m.AvailabilityZone}
-	})
-	reachable := float64(len(alive)) / float64(max(recent, len(alive)))
-	if !d.issuers.Get().Same(members, reachable) {
-		d.issuers.Set(issuertable.New(d.Settings().Name, members, reachable))
-	}
-}
-
-// sweepLimits removes the rate limits of targets that are not known any more, and the permits of those without a limit.
-func (d *Daemon) sweepLimits(known func(target string) bool) {
-	d.limits.Retain(known)
-	limited := func(target string) bool {
-		s, ok := d.limits.Find(target)
-		return ok && s.Limited()
-	}
-	d.permitIssuer.Retain(limited)
-	d.permits.Retain(limited)
-}
-
 // logLimit logs a changed or rejected rate limit.
 func (d *Daemon) logLimit(target, source string, o targetlimit.Observation, now time.Time) {
 	switch x := o.(type) {
--- /dev/null
+++ b/internal/entry/permits.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
+	"github.com/knapweedpoint/knapweedpoint/internal/issuertable"
+	"github.com/knapweedpoint/knapweedpoint/internal/permit"
+	"github.com/knapweedpoint/knapweedpoint/internal/roster"
+)
+
+// retryUnknownTarget is when a peer may ask again for a permit of a target that this daemon does not know yet.
+const retryUnknownTarget = 100 * time.Millisecond
+
+// requestPermit sends a request for a permit to its issuer, with the limit in case the issuer does not know it.
+func (d *Daemon) requestPermit(name string, r *gossippb.PermitRequest) {
+	if to, ok := d.sync.roster.Find(name); ok {
+		d.sync.gossiper.Send(to, &gossippb.Datagram{PermitRequest: r, Limits: d.knownLimit(r.GetTarget())})
+	}
+}
+
+// issuePermit replies to a peer's request for a permit, with the limit in case the peer's one is out of date.
+func (d *Daemon) issuePermit(from roster.Member, r *gossippb.PermitRequest, now time.Time) {
+	reply := &gossippb.PermitReply{Id: r.GetId()}
+	switch x := d.decidePermit(r.GetTarget(), now).(type) {
+	case permit.Granted:
+		reply.Granted = true
+	case permit.Denied:
+		reply.RetryMillis = uint32(x.RetryAfter.Milliseconds())
+	}
+	d.sync.gossiper.Send(from, &gossippb.Datagram{PermitReply: reply, Limits: d.knownLimit(r.GetTarget())})
+}
+
+// decidePermit decides about one send to a target. Without a limit, a send needs no permit.
+func (d *Daemon) decidePermit(target string, now time.Time) permit.Decision {
+	t, ok := d.State().Inventory.Target(target)
+	if !ok {
+		return permit.Denied{RetryAfter: retryUnknownTarget}
+	}
+	limit := d.limits.Limit(t)
+	if limit == 0 {
+		return permit.Granted{}
+	}
+	return d.permitIssuer.Issue(t, limit, now)
+}
+
+// handlePermits handles a request for a permit, or the reply to one, in a peer's datagram.
+func (d *Daemon) handlePermits(from roster.Member, m *gossippb.Datagram, now time.Time) {
+	if r := m.GetPermitRequest(); r != nil {
+		d.issuePermit(from, r, now)
+	}
+	if r := m.GetPermitReply(); r != nil {
+		d.permits.HandleReply(from.Name, r)
+	}
+}
+
+// assignIssuers assigns the targets that have rate limits to issuers among the settled daemons, or among all live ones
+// if none is settled yet. recent is the number of daemons that were alive recently.
+func (d *Daemon) assignIssuers(alive []roster.Member, recent int) {
+	settled := lo.Filter(alive, func(m roster.Member, _ int) bool { return m.Settled })
+	if len(settled) == 0 {
+		settled = alive
+	}
+	members := lo.Map(settled, func(m roster.Member, _ int) issuertable.Member {
+		return issuertable.Member{Name: m.Name, AvailabilityZone: m.AvailabilityZone}
+	})
+	reachable := float64(len(alive)) / float64(max(recent, len(alive)))
+	if !d.issuers.Get().Same(members, reachable) {
+		d.issuers.Set(issuertable.New(d.Settings().Name, members, reachable))
+	}
+}
+
+// sweepLimits removes the rate limits of targets that are not known any more, and the permits of those without a limit.
+func (d *Daemon) sweepLimits(known func(target string) bool) {
+	d.limits.Retain(known)
+	limited := func(target string) bool {
+		s, ok := d.limits.Find(target)
+		return ok && s.Limited()
+	}
+	d.permitIssuer.Retain(limited)
+	d.permits.Retain(limited)
+}
--- a/internal/permitclient/client.go
+++ b/internal/permitclient/client.go
@@ -23,6 +23,8 @@
 	PatientTimeout = 60 * time.Millisecond
 	// passOver is how long an issuer is passed over that did not reply in time.
 	passOver = time.Second
+	// retryAfterTimeout is when to try again after an issuer did not reply: the next request asks a fallback.
+	retryAfterTimeout = 100 * time.Millisecond
 	// retryWithoutIssuer is when to try again if no issuer is known or none replies.
 	retryWithoutIssuer = 500 * time.Millisecond
 	// maxDenial bounds how long a denial is remembered: the limit may rise meanwhile.
@@ -166,7 +168,7 @@
 	c.passUntil[r.issuer] = time.Now().Add(passOver)
 	c.mu.Unlock()
 	c.count("permitsTimedOut")
-	r.done(permit.Denied{})
+	r.done(permit.Denied{RetryAfter: retryAfterTimeout})
 }
 
 // finish remembers a denial and passes the decision on.
