Fix: a target's limit is used while a daemon that issues its permits is frozen

Cause: one daemon issued the whole limit, and the fallback a quarter of it until the members change: 2.5 s at 13 daemons, up to 30 s in fleets of hundreds. The fallback cannot issue more, because the first issuer may be out of its reach only.

Change: two main issuers issue half of the limit each, and the fallback a quarter. A request that one of them denies is passed on to the other, and denials are remembered by issuer. Limits below 4 requests a second have one main issuer as before: the bursts of three would exceed the 5 requests that the bound allows. A retry time that comes from memory is when the permit is expected, not at most 0.5 s.

Why it works: one that freezes leaves a half, and those who cannot reach it ask the fallback: three quarters at once. In a partition before the members change all issuers together still issue at most 1.25 limits.

Evidence: TestLimitIsUsedWhileAnIssuerIsFrozen failed on the code before, at 13, 139 and 295 daemons: 50 permits in 8 s, 135 required of 200.

--- a/internal/issuertable/table.go
+++ b/internal/issuertable/table.go
@@ -9,12 +9,22 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/rendezvous"
 )
 
-// IssuersPerTarget is the number of daemons that may issue the permits of one target: the first one and its fallbacks.
-const IssuersPerTarget = 3
-
-// partitionSurplus is how much more than one limit the parts of a partitioned fleet may issue together. Because of it, a
-// few dead daemons, which look like a partition, do not lower the load of limited targets.
-const partitionSurplus = 1.25
+const (
+	// IssuersPerTarget is the number of daemons that may issue the permits of one target: its main issuers, and the
+	// fallbacks for those that do not reply.
+	IssuersPerTarget = 3
+	// FallbackShare is the share of a limit that a fallback issues. The main issuers may be issuing all of it.
+	FallbackShare = 0.25
+	// mainIssuers is the number of main issuers, each of which issues an equal part of the limit. With two, one that
+	// freezes leaves half of the limit and the share of a fallback.
+	mainIssuers = 2
+	// minDivided is the lowest limit, in requests per second, that is divided among main issuers. For a lower one, the
+	// bursts of several issuers would exceed the 5 requests that the operators' bound allows for them.
+	minDivided = 4
+	// partitionSurplus is how much more than one limit the parts of a partitioned fleet may issue together. Because of
+	// it, a few dead daemons, which look like a partition, do not lower the load of limited targets.
+	partitionSurplus = 1.25
+)
 
 // Member is a daemon that may issue permits.
 type Member struct {
@@ -40,7 +50,7 @@
 	return &Table{self: self, members: members, reachable: reachable, ranks: map[string][]string{}}
 }
 
-// Issuers returns the issuers of a target, the first one and then the fallbacks. They are in the target's availability
+// Issuers returns the issuers of a target, the main ones and then the fallbacks. They are in the target's availability
 // zone if that has any members, because most requests for its permits come from there.
 func (t *Table) Issuers(target, zone string) []string {
 	if t == nil || len(t.members) == 0 {
@@ -61,17 +71,34 @@
 	return ranked
 }
 
-// Rank returns this daemon's position among the issuers of a target, or -1 if it is none of them.
-func (t *Table) Rank(target, zone string) int {
+// Main returns the number of main issuers of a target with the given limit in requests per second.
+func (t *Table) Main(perSecond float64) int {
+	if t == nil || perSecond < minDivided {
+		return 1
+	}
+	return min(mainIssuers, max(len(t.members), 1))
+}
+
+// Rate returns the rate, in permits per second, at which this daemon issues the permits of a target with the given limit.
+// It is 0 if the daemon is not an issuer of the target.
+func (t *Table) Rate(target, zone string, perSecond float64) float64 {
 	if t == nil {
-		return -1
+		return 0
+	}
+	main := t.Main(perSecond)
+	switch rank := slices.Index(t.Issuers(target, zone), t.self); {
+	case rank < 0:
+		return 0
+	case rank < main:
+		return perSecond * t.share() / float64(main)
+	default:
+		return perSecond * t.share() * FallbackShare
 	}
-	return slices.Index(t.Issuers(target, zone), t.self)
 }
 
-// Share returns the share of a limit that the first issuer of a target issues. The parts of a partitioned fleet then
-// issue no more than partitionSurplus limits together.
-func (t *Table) Share() float64 { return min(1, partitionSurplus*t.reachable) }
+// share returns the share of a limit that the main issuers of a target issue together. The parts of a partitioned fleet
+// then issue no more than partitionSurplus limits.
+func (t *Table) share() float64 { return min(1, partitionSurplus*t.reachable) }
 
 // Same reports whether the table was made of the same values.
 func (t *Table) Same(members []Member, reachable float64) bool {
--- a/internal/permitclient/client.go
+++ b/internal/permitclient/client.go
@@ -1,9 +1,12 @@
 package permitclient
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
@@ -27,7 +30,7 @@
 	retryAfterTimeout = 100 * time.Millisecond
 	// retryWithoutIssuer is when to try again if no issuer is known or none replies.
 	retryWithoutIssuer = 500 * time.Millisecond
-	// maxDenial bounds how long a denial is remembered: the limit may rise meanwhile.
+	// maxDenial bounds how long an issuer is not asked again: the limit may rise meanwhile.
 	maxDenial = 500 * time.Millisecond
 	// maxPending bounds the requests in flight.
 	maxPending = 4096
@@ -47,24 +50,33 @@
 	mu      sync.Mutex
 	nextID  uint64
 	pending map[uint64]*request
-	// deniedUntil holds, by target, when the next permit is expected.
-	deniedUntil map[string]denial
+	// denials holds each issuer's latest denial for each target.
+	denials map[denialKey]denial
 	// passUntil holds, by issuer, until when it is passed over.
 	passUntil map[string]time.Time
 }
 
-// request is a request for a permit that has no reply yet.
+// request is a request for a permit that is not decided yet. It goes to one issuer after the other.
 type request struct {
-	target inventory.Target
-	issuer string
-	timer  *time.Timer
-	done   func(permit.Decision)
+	target  inventory.Target
+	timeout time.Duration
+	done    func(permit.Decision)
+	// asked holds the issuers that the request went to; the last one has not replied yet.
+	asked []string
+	timer *time.Timer
 }
 
-// denial is the latest denial for a target; it holds for the limit at that time.
+// issuer returns the issuer that has not replied yet.
+func (r *request) issuer() string { return r.asked[len(r.asked)-1] }
+
+// denialKey identifies the denials of one issuer for one target.
+type denialKey struct{ target, issuer string }
+
+// denial is an issuer's latest denial for a target; it holds for the limit at that time.
 type denial struct {
-	until     time.Time
-	perSecond float64
+	// until is how long the issuer is not asked again, and expected when its next permit is expected.
+	until, expected time.Time
+	perSecond       float64
 }
 
 // Required reports whether a send to the target needs a permit.
@@ -83,75 +95,127 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d, ok := c.deniedUntil[t.ID]
-	if !ok || d.perSecond != limit {
-		return 0
-	}
-	return max(d.until.Sub(now), 0)
+	return c.shortestWait(t, limit, c.issuers(t, limit, now), now)
 }
 
 // Acquire requests a permit for a send to the target. The decision is passed to done, once: before Acquire returns if
-// this daemon issues the permits itself, otherwise when the issuer has replied or the timeout has passed.
+// no other daemon is asked, otherwise when the issuers have replied or the timeout of one of them has passed.
 func (c *Client) Acquire(t inventory.Target, timeout time.Duration, now time.Time, done func(permit.Decision)) {
-	limit := c.Limits.Limit(t)
-	issuer, ok := c.issuer(t, now)
+	c.ask(&request{target: t, timeout: timeout, done: done}, now)
+}
+
+// ask passes a request on to the next issuer, or decides it if there is none.
+func (c *Client) ask(r *request, now time.Time) {
+	limit := c.Limits.Limit(r.target)
+	if limit == 0 {
+		r.done(permit.Granted{})
+		return
+	}
+	c.mu.Lock()
+	issuers := c.issuers(r.target, limit, now)
+	issuer, ok := c.next(r, limit, issuers, now)
+	wait := c.shortestWait(r.target, limit, issuers, now)
+	c.mu.Unlock()
 	switch {
-	case limit == 0:
-		done(permit.Granted{})
+	case !ok && len(issuers) == 0:
+		c.decide(r, permit.Denied{RetryAfter: retryWithoutIssuer})
 	case !ok:
-		done(permit.Denied{RetryAfter: retryWithoutIssuer})
+		c.decide(r, permit.Denied{RetryAfter: wait})
 	case issuer == c.Name:
-		c.finish(t, c.Issuer.Issue(t, limit, now), now, done)
+		r.asked = append(r.asked, issuer)
+		c.handleDecision(r, c.Issuer.Issue(r.target, limit, now), now)
 	default:
-		c.request(t, issuer, timeout, done)
+		c.send(r, issuer)
 	}
 }
 
-// issuer returns the first issuer of the target that replied lately.
-func (c *Client) issuer(t inventory.Target, now time.Time) (string, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.pending) >= maxPending {
+// next returns the issuer to ask next: this daemon if it is one, otherwise a random one. It returns false if there is
+// none, or if too many requests are pending. The caller holds mu.
+func (c *Client) next(r *request, limit float64, issuers []string, now time.Time) (string, bool) {
+	open := lo.Filter(issuers, func(name string, _ int) bool {
+		return !slices.Contains(r.asked, name) && c.wait(r.target, limit, name, now) == 0
+	})
+	switch {
+	case len(open) == 0 || len(c.pending) >= maxPending:
 		return "", false
+	case slices.Contains(open, c.Name):
+		return c.Name, true
+	default:
+		return open[rand.IntN(len(open))], true
 	}
-	for _, name := range c.Table.Get().Issuers(t.ID, t.AvailabilityZone) {
-		if !now.Before(c.passUntil[name]) {
-			return name, true
-		}
+}
+
+// issuers returns the main issuers of a target. Fallbacks replace those that have not replied lately. The caller holds
+// mu.
+func (c *Client) issuers(t inventory.Target, limit float64, now time.Time) []string {
+	table := c.Table.Get()
+	replying := lo.Reject(table.Issuers(t.ID, t.AvailabilityZone), func(name string, _ int) bool { return now.Before(c.passUntil[name]) })
+	return replying[:min(table.Main(limit), len(replying))]
+}
+
+// shortestWait returns how long it takes until a permit is expected from one of the issuers. The caller holds mu.
+func (c *Client) shortestWait(t inventory.Target, limit float64, issuers []string, now time.Time) time.Duration {
+	return lo.Min(lo.Map(issuers, func(name string, _ int) time.Duration { return c.wait(t, limit, name, now) }))
+}
+
+// wait returns how long it takes until a permit is expected from an issuer, or 0 if it may be asked. The caller holds mu.
+func (c *Client) wait(t inventory.Target, limit float64, issuer string, now time.Time) time.Duration {
+	d, ok := c.denials[denialKey{target: t.ID, issuer: issuer}]
+	if !ok || d.perSecond != limit || !now.Before(d.until) {
+		return 0
 	}
-	return "", false
+	return d.expected.Sub(now)
 }
 
-func (c *Client) request(t inventory.Target, issuer string, timeout time.Duration, done func(permit.Decision)) {
+func (c *Client) send(r *request, issuer string) {
 	c.mu.Lock()
 	c.nextID++
 	id := c.nextID
 	if c.pending == nil {
 		c.pending = map[uint64]*request{}
 	}
-	c.pending[id] = &request{target: t, issuer: issuer, done: done, timer: time.AfterFunc(timeout, func() { c.timeOut(id) })}
+	r.asked = append(r.asked, issuer)
+	r.timer = time.AfterFunc(r.timeout, func() { c.timeOut(id) })
+	c.pending[id] = r
 	c.mu.Unlock()
-	c.Send(issuer, &gossippb.PermitRequest{Id: id, Target: t.ID})
+	c.Send(issuer, &gossippb.PermitRequest{Id: id, Target: r.target.ID})
 }
 
-// HandleReply completes the request that a reply answers. Replies to requests that have timed out are ignored.
+// HandleReply handles the reply to a request. Replies to requests that have timed out are ignored.
 func (c *Client) HandleReply(from string, m *gossippb.PermitReply) {
-	now := time.Now()
 	c.mu.Lock()
 	delete(c.passUntil, from)
 	r, ok := c.pending[m.GetId()]
-	if !ok || r.issuer != from {
+	if !ok || r.issuer() != from {
 		c.mu.Unlock()
 		return
 	}
 	delete(c.pending, m.GetId())
-	c.mu.Unlock()
 	r.timer.Stop()
+	c.mu.Unlock()
 	var d permit.Decision = permit.Granted{}
 	if !m.GetGranted() {
 		d = permit.Denied{RetryAfter: time.Duration(m.GetRetryMillis()) * time.Millisecond}
 	}
-	c.finish(r.target, d, now, r.done)
+	c.handleDecision(r, d, time.Now())
+}
+
+// handleDecision handles the decision of the issuer that a request went to. If it is a denial, the next issuer is asked.
+func (c *Client) handleDecision(r *request, d permit.Decision, now time.Time) {
+	switch x := d.(type) {
+	case permit.Granted:
+		c.decide(r, x)
+	case permit.Denied:
+		c.mu.Lock()
+		if c.denials == nil {
+			c.denials = map[denialKey]denial{}
+		}
+		c.denials[denialKey{target: r.target.ID, issuer: r.issuer()}] = denial{
+			until: now.Add(min(x.RetryAfter, maxDenial)), expected: now.Add(x.RetryAfter), perSecond: c.Limits.Limit(r.target),
+		}
+		c.mu.Unlock()
+		c.ask(r, now)
+	}
 }
 
 func (c *Client) timeOut(id uint64) {
@@ -165,27 +229,21 @@
 	if c.passUntil == nil {
 		c.passUntil = map[string]time.Time{}
 	}
-	c.passUntil[r.issuer] = time.Now().Add(passOver)
+	c.passUntil[r.issuer()] = time.Now().Add(passOver)
 	c.mu.Unlock()
 	c.count("permitsTimedOut")
 	r.done(permit.Denied{RetryAfter: retryAfterTimeout})
 }
 
-// finish remembers a denial and passes the decision on.
-func (c *Client) finish(t inventory.Target, d permit.Decision, now time.Time, done func(permit.Decision)) {
-	switch x := d.(type) {
+// decide passes the decision about a request on.
+func (c *Client) decide(r *request, d permit.Decision) {
+	switch d.(type) {
 	case permit.Granted:
 		c.count("permitsGranted")
 	case permit.Denied:
 		c.count("permitsDenied")
-		c.mu.Lock()
-		if c.deniedUntil == nil {
-			c.deniedUntil = map[string]denial{}
-		}
-		c.deniedUntil[t.ID] = denial{until: now.Add(min(x.RetryAfter, maxDenial)), perSecond: c.Limits.Limit(t)}
-		c.mu.Unlock()
 	}
-	done(d)
+	r.done(d)
 }
 
 func (c *Client) count(name string) {
@@ -198,9 +256,9 @@
 func (c *Client) Retain(limited func(target string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id := range c.deniedUntil {
-		if !limited(id) {
-			delete(c.deniedUntil, id)
+	for key := range c.denials {
+		if !limited(key.target) {
+			delete(c.denials, key)
 		}
 	}
 }
--- a/internal/permitclient/fleet_test.go
+++ b/internal/permitclient/fleet_test.go
@@ -106,9 +106,9 @@
 
 // first returns the first issuer of the target.
 func (f *fleet) first() *member {
-	m, _ := lo.Find(f.members, func(m *member) bool {
-		return !m.frozen.Load() && m.table.Get().Rank(target.ID, target.AvailabilityZone) == 0
-	})
+	alive, _ := lo.Find(f.members, func(m *member) bool { return !m.frozen.Load() })
+	first := alive.table.Get().Issuers(target.ID, target.AvailabilityZone)[0]
+	m, _ := lo.Find(f.members, func(m *member) bool { return m.name == first })
 	return m
 }
 
@@ -206,6 +206,30 @@
 	}
 }
 
+// Guards against a target that gets a quarter of its limit while a daemon that issues its permits is frozen and the
+// others, which learn of it only after many seconds in a large fleet, still take that daemon for a live one.
+func TestLimitIsUsedWhileAnIssuerIsFrozen(t *testing.T) {
+	for _, daemons := range []int{13, 139, 295} {
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const limit = 25
+				f := newFleet(daemons, 11)
+				f.setLimit(limit)
+				start := time.Now()
+				f.load(200, 0.5, 8*time.Second)
+				f.first().frozen.Store(true)
+				frozen := time.Now()
+				f.load(200, 0.5, 8*time.Second)
+				f.requireBound(t, start, limit)
+				// The other main issuer has half of the limit and the fallback a quarter; a tenth of that is for requests
+				// that wait in vain.
+				require.Greater(t, float64(f.between(frozen, time.Now())), 0.9*0.75*limit*8)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 func TestFleetFollowsALimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(139, 3)
--- a/internal/permitissuer/issuer.go
+++ b/internal/permitissuer/issuer.go
@@ -11,28 +11,26 @@
 )
 
 const (
-	// standInShare is the share of a limit that an issuer issues while another daemon may be issuing all of it.
-	standInShare = 0.25
 	// An issuer accumulates unused permits for requests that come together: burstPermits and those of burstTime. Over the
-	// 4 s of the operators' bound they are well below its surplus of half a limit and five requests.
+	// 4 s of the operators' bound, those of all issuers are below its surplus of half a limit and five requests.
 	burstPermits = 2
 	burstTime    = 500 * time.Millisecond
 	// retryElsewhere is when to ask again after a daemon that is not an issuer of the target was asked.
 	retryElsewhere = 100 * time.Millisecond
 )
 
-// Issuer issues the permits of targets, each at the rate of the target's limit. Table is required.
+// Issuer issues this daemon's part of the permits of targets that have rate limits. Table is required.
 type Issuer struct {
 	Table *blackboard.Cell[issuertable.Table]
 
 	mu sync.Mutex
-	// from is when the daemon starts to issue permits, fullFrom when it may issue whole limits.
+	// from is when the daemon starts to issue permits, fullFrom when it may issue its whole part.
 	from, fullFrom time.Time
 	buckets        map[string]*bucket
 }
 
-// SetStart sets when the daemon starts to issue permits, and when it may issue whole limits: by then the others must
-// know that it does. Without a call, the daemon issues whole limits at once.
+// SetStart sets when the daemon starts to issue permits, and when it may issue its whole part: by then the others must
+// know that it does. Without a call, the daemon issues its whole part at once.
 func (i *Issuer) SetStart(from, fullFrom time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -41,16 +39,14 @@
 
 // Issue decides about one send to a target with the given limit in requests per second.
 func (i *Issuer) Issue(t inventory.Target, perSecond float64, now time.Time) permit.Decision {
-	table := i.Table.Get()
-	rank := table.Rank(t.ID, t.AvailabilityZone)
+	rate := i.Table.Get().Rate(t.ID, t.AvailabilityZone, perSecond)
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if rank < 0 || now.Before(i.from) {
+	if rate == 0 || now.Before(i.from) {
 		return permit.Denied{RetryAfter: retryElsewhere}
 	}
-	rate := perSecond * table.Share()
-	if rank > 0 || now.Before(i.fullFrom) {
-		rate *= standInShare
+	if now.Before(i.fullFrom) {
+		rate *= issuertable.FallbackShare
 	}
 	return i.bucket(t.ID, now).take(rate, now)
 }
--- a/internal/permitissuer/issuer_test.go
+++ b/internal/permitissuer/issuer_test.go
@@ -1,6 +1,7 @@
 package permitissuer_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -39,7 +40,7 @@
 	ranked := issuertable.New("", all, 1).Issuers(target.ID, "a")
 	notAnIssuer := "vm0"
 	for _, m := range all {
-		if issuertable.New(m.Name, all, 1).Rank(target.ID, "a") < 0 {
+		if !slices.Contains(ranked, m.Name) {
 			notAnIssuer = m.Name
 		}
 	}
@@ -49,22 +50,27 @@
 		members  []issuertable.Member
 		reach    float64
 		fullFrom time.Time
+		limit    float64
 		want     int
 	}{
-		{"first issuer", ranked[0], all, 1, time.Time{}, 200},
-		{"a few daemons are out of reach", ranked[0], all, 0.9, time.Time{}, 200},
-		{"half of the daemons are out of reach", ranked[0], all, 0.5, time.Time{}, 125},
-		{"fallback", ranked[1], all, 1, time.Time{}, 50},
-		{"handover", ranked[0], all, 1, now.Add(time.Hour), 50},
-		{"no issuer of the target", notAnIssuer, all, 1, time.Time{}, 0},
-		{"members unknown", "vm0", nil, 1, time.Time{}, 0},
+		{"first main issuer", ranked[0], all, 1, time.Time{}, 25, 100},
+		{"second main issuer", ranked[1], all, 1, time.Time{}, 25, 100},
+		{"fallback", ranked[2], all, 1, time.Time{}, 25, 50},
+		{"only issuer", "vm0", members("vm0"), 1, time.Time{}, 25, 200},
+		{"a few daemons are out of reach", ranked[0], all, 0.9, time.Time{}, 25, 100},
+		{"half of the daemons are out of reach", ranked[0], all, 0.5, time.Time{}, 25, 62},
+		{"handover", ranked[0], all, 1, now.Add(time.Hour), 25, 25},
+		{"low limit, main issuer", ranked[0], all, 1, time.Time{}, 2, 16},
+		{"low limit, fallback", ranked[1], all, 1, time.Time{}, 2, 4},
+		{"no issuer of the target", notAnIssuer, all, 1, time.Time{}, 25, 0},
+		{"members unknown", "vm0", nil, 1, time.Time{}, 25, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			table := &blackboard.Cell[issuertable.Table]{}
 			table.Set(issuertable.New(c.self, c.members, c.reach))
 			i := &permitissuer.Issuer{Table: table}
 			i.SetStart(time.Time{}, c.fullFrom)
-			got := issued(i, 25, now)
+			got := issued(i, c.limit, now)
 			require.InDelta(t, c.want, got, 0.03*float64(c.want)+1)
 		})
 	}
