--- a/internal/entry/permits.go
+++ b/internal/entry/permits.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"time"
 
 	"github.com/samber/lo"
@@ -14,7 +15,7 @@
 // retryUnknownTarget is when a peer may ask again for a permit of a target that this daemon does not know yet.
 const retryUnknownTarget = 100 * time.Millisecond
 
-// requestPermit sends a request for a permit to its issuer, with the limit in case the issuer does not know it.
+// requestPermit sends a request for a permit to an issuer, with the limit in case the issuer does not know it.
 func (d *Daemon) requestPermit(name string, r *gossippb.PermitRequest) {
 	if to, ok := d.sync.roster.Find(name); ok {
 		d.sync.gossiper.Send(to, &gossippb.Datagram{PermitRequest: r, Limits: d.knownLimit(r.GetTarget())})
@@ -28,7 +29,8 @@
 	case permit.Granted:
 		reply.Granted = true
 	case permit.Denied:
-		reply.RetryMillis = uint32(x.RetryAfter.Milliseconds())
+		// Rounded up, so that a permit is available by then.
+		reply.RetryMillis = uint32(math.Ceil(x.RetryAfter.Seconds() * 1000))
 	}
 	d.sync.gossiper.Send(from, &gossippb.Datagram{PermitReply: reply, Limits: d.knownLimit(r.GetTarget())})
 }
--- a/internal/issuertable/doc.go
+++ b/internal/issuertable/doc.go
@@ -1,2 +1,2 @@
-// Package issuertable determines which daemon issues the permits of a target that has a rate limit.
+// Package issuertable determines which daemons issue the permits of a target that has a rate limit.
 package issuertable
--- a/internal/issuertable/table.go
+++ b/internal/issuertable/table.go
@@ -15,9 +15,9 @@
 	IssuersPerTarget = 3
 	// FallbackShare is the share of a limit that a fallback issues. The main issuers may be issuing all of it.
 	FallbackShare = 0.25
-	// mainIssuers is the number of main issuers, each of which issues an equal part of the limit. With two, one that
-	// freezes leaves half of the limit and the share of a fallback.
-	mainIssuers = 2
+	// maxMainIssuers is the number of main issuers that divide a limit equally. With two, one that freezes leaves half of
+	// the limit and the share of a fallback.
+	maxMainIssuers = 2
 	// minDivided is the lowest limit, in requests per second, that is divided among main issuers. For a lower one, the
 	// bursts of several issuers would exceed the 5 requests that the operators' bound allows for them.
 	minDivided = 4
@@ -71,12 +71,12 @@
 	return ranked
 }
 
-// Main returns the number of main issuers of a target with the given limit in requests per second.
-func (t *Table) Main(perSecond float64) int {
+// MainIssuers returns the number of main issuers of a target with the given limit in requests per second.
+func (t *Table) MainIssuers(perSecond float64) int {
 	if t == nil || perSecond < minDivided {
 		return 1
 	}
-	return min(mainIssuers, max(len(t.members), 1))
+	return min(maxMainIssuers, max(len(t.members), 1))
 }
 
 // Rate returns the rate, in permits per second, at which this daemon issues the permits of a target with the given limit.
@@ -85,7 +85,7 @@
 	if t == nil {
 		return 0
 	}
-	main := t.Main(perSecond)
+	main := t.MainIssuers(perSecond)
 	switch rank := slices.Index(t.Issuers(target, zone), t.self); {
 	case rank < 0:
 		return 0
--- a/internal/permitclient/client.go
+++ b/internal/permitclient/client.go
@@ -1,7 +1,6 @@
 package permitclient
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -26,9 +25,10 @@
 	PatientTimeout = 60 * time.Millisecond
 	// passOver is how long an issuer is passed over that did not reply in time.
 	passOver = time.Second
-	// retryAfterTimeout is when to try again after an issuer did not reply: the next request asks a fallback.
+	// retryAfterTimeout is when to try again after an issuer did not reply: the next request asks another one.
 	retryAfterTimeout = 100 * time.Millisecond
-	// retryWithoutIssuer is when to try again if no issuer is known or none replies.
+	// retryWithoutIssuer is when to try again if no issuer can be asked: none is known, none replies, or too many requests
+	// are pending.
 	retryWithoutIssuer = 500 * time.Millisecond
 	// maxDenial bounds how long an issuer is not asked again: the limit may rise meanwhile.
 	maxDenial = 500 * time.Millisecond
@@ -117,10 +117,10 @@
 	wait := c.shortestWait(r.target, limit, issuers, now)
 	c.mu.Unlock()
 	switch {
-	case !ok && len(issuers) == 0:
-		c.decide(r, permit.Denied{RetryAfter: retryWithoutIssuer})
-	case !ok:
+	case !ok && wait > 0:
 		c.decide(r, permit.Denied{RetryAfter: wait})
+	case !ok:
+		c.decide(r, permit.Denied{RetryAfter: retryWithoutIssuer})
 	case issuer == c.Name:
 		r.asked = append(r.asked, issuer)
 		c.handleDecision(r, c.Issuer.Issue(r.target, limit, now), now)
@@ -129,8 +129,8 @@
 	}
 }
 
-// next returns the issuer to ask next: this daemon if it is one, otherwise a random one. It returns false if there is
-// none, or if too many requests are pending. The caller holds mu.
+// next returns the issuer to ask next: this daemon if it is one, otherwise the issuers take turns. It returns false if
+// there is none, or if too many requests are pending. The caller holds mu.
 func (c *Client) next(r *request, limit float64, issuers []string, now time.Time) (string, bool) {
 	open := lo.Filter(issuers, func(name string, _ int) bool {
 		return !slices.Contains(r.asked, name) && c.wait(r.target, limit, name, now) == 0
@@ -141,7 +141,7 @@
 	case slices.Contains(open, c.Name):
 		return c.Name, true
 	default:
-		return open[rand.IntN(len(open))], true
+		return open[c.nextID%uint64(len(open))], true
 	}
 }
 
@@ -150,7 +150,7 @@
 func (c *Client) issuers(t inventory.Target, limit float64, now time.Time) []string {
 	table := c.Table.Get()
 	replying := lo.Reject(table.Issuers(t.ID, t.AvailabilityZone), func(name string, _ int) bool { return now.Before(c.passUntil[name]) })
-	return replying[:min(table.Main(limit), len(replying))]
+	return replying[:min(table.MainIssuers(limit), len(replying))]
 }
 
 // shortestWait returns how long it takes until a permit is expected from one of the issuers. The caller holds mu.
