Permits: low limits have two main issuers as well

Each issuer allows a burst of one permit and those of half a second, so the two main issuers together allow as much as the one before, and with the fallback they stay below the bound at any limit: 5.6 limits and 3 requests in 4 s, 6 limits and 5 requests allowed. The special case for limits below 4 is gone.

Postmortem: too little is sent while an issuer is frozen.

--- a/internal/issuertable/table.go
+++ b/internal/issuertable/table.go
@@ -18,9 +18,6 @@
 	// maxMainIssuers is the number of main issuers that divide a limit equally. With two, one that freezes leaves half of
 	// the limit and the share of a fallback.
 	maxMainIssuers = 2
-	// minDivided is the lowest limit, in requests per second, that is divided among main issuers. For a lower one, the
-	// bursts of several issuers would exceed the 5 requests that the operators' bound allows for them.
-	minDivided = 4
 	// partitionSurplus is how much more than one limit the parts of a partitioned fleet may issue together. Because of
 	// it, a few dead daemons, which look like a partition, do not lower the load of limited targets.
 	partitionSurplus = 1.25
@@ -71,12 +68,12 @@
 	return ranked
 }
 
-// MainIssuers returns the number of main issuers of a target with the given limit in requests per second.
-func (t *Table) MainIssuers(perSecond float64) int {
-	if t == nil || perSecond < minDivided {
-		return 1
+// MainIssuers returns the number of main issuers of each target.
+func (t *Table) MainIssuers() int {
+	if t == nil {
+		return 0
 	}
-	return min(maxMainIssuers, max(len(t.members), 1))
+	return min(maxMainIssuers, len(t.members))
 }
 
 // Rate returns the rate, in permits per second, at which this daemon issues the permits of a target with the given limit.
@@ -85,7 +82,7 @@
 	if t == nil {
 		return 0
 	}
-	main := t.MainIssuers(perSecond)
+	main := t.MainIssuers()
 	switch rank := slices.Index(t.Issuers(target, zone), t.self); {
 	case rank < 0:
 		return 0
--- a/internal/permitclient/client.go
+++ b/internal/permitclient/client.go
@@ -95,7 +95,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.shortestWait(t, limit, c.issuers(t, limit, now), now)
+	return c.shortestWait(t, limit, c.issuers(t, now), now)
 }
 
 // Acquire requests a permit for a send to the target. The decision is passed to done, once: before Acquire returns if
@@ -112,7 +112,7 @@
 		return
 	}
 	c.mu.Lock()
-	issuers := c.issuers(r.target, limit, now)
+	issuers := c.issuers(r.target, now)
 	issuer, ok := c.next(r, limit, issuers, now)
 	wait := c.shortestWait(r.target, limit, issuers, now)
 	c.mu.Unlock()
@@ -147,10 +147,10 @@
 
 // issuers returns the main issuers of a target. Fallbacks replace those that have not replied lately. The caller holds
 // mu.
-func (c *Client) issuers(t inventory.Target, limit float64, now time.Time) []string {
+func (c *Client) issuers(t inventory.Target, now time.Time) []string {
 	table := c.Table.Get()
 	replying := lo.Reject(table.Issuers(t.ID, t.AvailabilityZone), func(name string, _ int) bool { return now.Before(c.passUntil[name]) })
-	return replying[:min(table.MainIssuers(limit), len(replying))]
+	return replying[:min(table.MainIssuers(), len(replying))]
 }
 
 // shortestWait returns how long it takes until a permit is expected from one of the issuers. The caller holds mu.
--- a/internal/permitissuer/issuer.go
+++ b/internal/permitissuer/issuer.go
@@ -13,7 +13,7 @@
 const (
 	// An issuer accumulates unused permits for requests that come together: burstPermits and those of burstTime. Over the
 	// 4 s of the operators' bound, those of all issuers are below its surplus of half a limit and five requests.
-	burstPermits = 2
+	burstPermits = 1
 	burstTime    = 500 * time.Millisecond
 	// retryElsewhere is when to ask again after a daemon that is not an issuer of the target was asked.
 	retryElsewhere = 100 * time.Millisecond
@@ -51,8 +51,8 @@
 	return i.bucket(t.ID, now).take(rate, now)
 }
 
-// bucket returns the bucket of a target. A new one has one permit, so that the next answer confirms or ends a limit that
-// was just stated, however low it is.
+// bucket returns the bucket of a target. A new one has a permit, so that the next answer confirms or ends a limit that was
+// just stated, however low it is.
 func (i *Issuer) bucket(target string, now time.Time) *bucket {
 	b := i.buckets[target]
 	if b == nil {
