--- a/internal/issuertable/table.go
+++ b/internal/issuertable/table.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// IssuersPerTarget is the number of daemons that may issue the permits of one target: its main issuers, and the
-	// fallbacks for those that do not reply.
+	// IssuersPerTarget is the number of daemons that may issue the permits of one target: its main issuers, and a fallback
+	// for one that does not reply.
 	IssuersPerTarget = 3
 	// FallbackShare is the share of a limit that a fallback issues. The main issuers may be issuing all of it.
 	FallbackShare = 0.25
@@ -47,7 +47,7 @@
 	return &Table{self: self, members: members, reachable: reachable, ranks: map[string][]string{}}
 }
 
-// Issuers returns the issuers of a target, the main ones and then the fallbacks. They are in the target's availability
+// Issuers returns the issuers of a target, the main ones and then the fallback. They are in the target's availability
 // zone if that has any members, because most requests for its permits come from there.
 func (t *Table) Issuers(target, zone string) []string {
 	if t == nil || len(t.members) == 0 {
--- a/internal/permitclient/client.go
+++ b/internal/permitclient/client.go
@@ -145,8 +145,7 @@
 	}
 }
 
-// issuers returns the main issuers of a target. Fallbacks replace those that have not replied lately. The caller holds
-// mu.
+// issuers returns the main issuers of a target. The fallback replaces one that has not replied lately. The caller holds mu.
 func (c *Client) issuers(t inventory.Target, now time.Time) []string {
 	table := c.Table.Get()
 	replying := lo.Reject(table.Issuers(t.ID, t.AvailabilityZone), func(name string, _ int) bool { return now.Before(c.passUntil[name]) })
