Entry: logs tell what a stopping daemon still has open

drainOverdue did not say whether requests or unused connections were open when the process exited, so the hypotheses of the incident could not be told apart. It lists both now, and the new event listenerClosed lists them when the listener closes. No logic changes.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/crashguard"
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
+	"github.com/knapweedpoint/knapweedpoint/internal/inflight"
 	"github.com/knapweedpoint/knapweedpoint/internal/platformstate"
 	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
 	"github.com/knapweedpoint/knapweedpoint/internal/scatter"
@@ -46,6 +47,8 @@
 	Splits    *split.Picker
 	// Margin is the answer margin: the time an answer needs to reach the caller.
 	Margin time.Duration
+	// InFlight holds the requests that are being answered.
+	InFlight inflight.Register
 	// Log and Scope are optional.
 	Log   *zap.Logger
 	Scope tally.Scope
@@ -67,6 +70,7 @@
 		return d.finish(entry, NoRoute{})
 	}
 	entry.route = route
+	defer d.InFlight.Add(r.Request.ID, route.Name, r.ReceivedAt)()
 	if d.Quarantined != nil && d.Quarantined(r.Request) {
 		return d.finish(entry, NotRun{Reason: ReasonCrashesTargets, RetryAfter: crashguard.SuspicionTTL})
 	}
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -31,8 +31,9 @@
 	time.Sleep(time.Duration(serveShare * float64(grace)))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(exitShare*float64(grace))))
 	defer cancel()
+	events.ListenerClosed.Log(d.options.Log, d.unfinished()...)
 	if err := d.callers.Shutdown(ctx); err != nil {
-		events.DrainOverdue.Log(d.options.Log, zap.Error(err))
+		events.DrainOverdue.Log(d.options.Log, append(d.unfinished(), zap.Error(err))...)
 	}
 	for _, stop := range []func(context.Context) error{d.readiness.Shutdown, d.peers.Shutdown, d.metrics.Shutdown} {
 		if err := stop(ctx); err != nil {
@@ -40,3 +41,8 @@
 		}
 	}
 }
+
+// unfinished returns the log fields that describe the callers' connections and the requests in flight.
+func (d *Daemon) unfinished() []zap.Field {
+	return []zap.Field{zap.Any("connections", d.callers.Connections()), zap.Array("inFlight", &d.dispatcher.InFlight)}
+}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -29,6 +29,8 @@
 	SetLimits(l routetable.Limits)
 	// Drain makes each answer announce that its connection will be closed.
 	Drain()
+	// Connections returns the number of connections by state: "new", "idle" or "active".
+	Connections() map[string]int
 	// Shutdown stops accepting connections, closes idle ones and waits for requests in flight.
 	Shutdown(ctx context.Context) error
 }
--- a/internal/events/event.go
+++ b/internal/events/event.go
@@ -30,6 +30,7 @@
 	Stopped              = Event{103, "stopped", Info}
 	SecondSignal         = Event{104, "secondSignal", Warn}
 	DrainOverdue         = Event{105, "drainOverdue", Error}
+	ListenerClosed       = Event{106, "listenerClosed", Info}
 	ConfigurationTaken   = Event{200, "configurationTaken", Info}
 	ConfigurationRefused = Event{201, "configurationRefused", Error}
 	ConfigurationOlder   = Event{202, "configurationOlder", Warn}
@@ -83,7 +84,7 @@
 // All lists every event in the order of the numbers.
 func All() []Event {
 	return []Event{
-		Started, Ready, DrainStarted, Stopped, SecondSignal, DrainOverdue,
+		Started, Ready, DrainStarted, Stopped, SecondSignal, DrainOverdue, ListenerClosed,
 		ConfigurationTaken, ConfigurationRefused, ConfigurationOlder, PlatformUnavailable,
 		PlatformBack, ConfigurationByPeer, ListTaken, CutOff, CutOffEnded,
 		PeerUnreachable, PeerQueueFull, TargetCold, TargetWarm, TargetLost, TargetBroke,
--- /dev/null
+++ b/internal/inflight/doc.go
@@ -0,0 +1,2 @@
+// Package inflight holds the requests that a daemon is answering.
+package inflight
