Fix: what a stopping daemon takes is answered before it exits

What callers saw: around the SIGTERM of a VM their requests reached a target and their connections were closed without an answer; bookings among them.

Cause: a stopping daemon took every request until 0.62 of the grace period, whatever time it could need, and exited at 0.9 with whatever was still in flight. http.Server.Shutdown adds two more ways: a request whose head was read before it and whose body ends later is passed on until the last moment, and a request that is read after it from a connection that was unused or half written is dropped without an answer. Nothing was ever refused.

Change: internal/grace divides the grace period. In its first half requests are taken as usual; after that only those whose whole time fits before 0.85 of the period, and the others are refused at once as not run. At 0.85 every request in flight gets its answer, at worst that its outcome is not known. internal/gracefulhttp ends the connections in place of Shutdown: a connection is closed only if no request has begun on it, a request that begins is answered, and one that has not arrived completely at 0.875 is told that it has not run.

Why it works: no request outlives 0.85 of the period, and a connection on which bytes of a request have been read ends with an answer.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/crashguard"
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
+	"github.com/knapweedpoint/knapweedpoint/internal/grace"
 	"github.com/knapweedpoint/knapweedpoint/internal/inflight"
 	"github.com/knapweedpoint/knapweedpoint/internal/platformstate"
 	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
@@ -28,6 +29,9 @@
 	firstConfigurationWait = 250 * time.Millisecond
 	// configurationPollInterval is how often a waiting request checks for the first configuration.
 	configurationPollInterval = 5 * time.Millisecond
+	// retryAfterStopping is the retry delay for callers that a stopping daemon refuses. Other daemons can take the request
+	// at once, and a new connection takes longer than this.
+	retryAfterStopping = 10 * time.Millisecond
 	// defaultTimeout applies to routes without a timeout when the caller has no deadline.
 	defaultTimeout = 30 * time.Second
 )
@@ -37,6 +41,7 @@
 	ReasonUnconfigured   = "noConfiguration"
 	ReasonNoService      = "noService"
 	ReasonCrashesTargets = "crashesTargets"
+	ReasonStopping       = "stopping"
 )
 
 // Dispatcher answers callers. All fields are required unless they are marked as optional.
@@ -47,6 +52,8 @@
 	Splits    *split.Picker
 	// Margin is the answer margin: the time an answer needs to reach the caller.
 	Margin time.Duration
+	// Grace is the grace period of the daemon. It begins when the daemon is told to stop.
+	Grace grace.Period
 	// InFlight holds the requests that are being answered.
 	InFlight inflight.Register
 	// Log and Scope are optional.
@@ -57,9 +64,11 @@
 	Quarantined func(r targetcall.Request) bool
 }
 
-// Handle answers one request. It returns at the latest when the caller or the route stops waiting, or when ctx is
-// done.
+// Handle answers one request. It returns at the latest when the caller or the route stops waiting, when the grace
+// period requires the answer, or when ctx is done.
 func (d *Dispatcher) Handle(ctx context.Context, r CallerRequest) Answer {
+	ctx, release := d.Grace.Bind(ctx)
+	defer release()
 	state := d.waitConfigured(ctx, r)
 	entry := requestLog{request: r, state: state}
 	if !state.Configured() {
@@ -74,7 +83,10 @@
 	if d.Quarantined != nil && d.Quarantined(r.Request) {
 		return d.finish(entry, NotRun{Reason: ReasonCrashesTargets, RetryAfter: crashguard.SuspicionTTL})
 	}
-	deadline := d.deadline(r, route)
+	deadline, ok := d.Grace.Admit(time.Now(), d.deadline(r, route))
+	if !ok {
+		return d.finish(entry, NotRun{Reason: ReasonStopping, RetryAfter: retryAfterStopping})
+	}
 	switch x := route.Destination.(type) {
 	case routetable.Scatter:
 		return d.search(ctx, entry, x, deadline)
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -5,41 +5,39 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 )
 
-// Shares of the grace period of a stopping daemon. The load balancer detects unreadiness after two failed checks, one
-// per second, and may keep sending requests when few daemons of a zone are left.
-const (
-	// serveShare is the share for which the daemon continues to accept requests.
-	serveShare = 0.62
-	// exitShare is the share after which the daemon exits even if requests are still in flight.
-	exitShare = 0.9
-)
-
-// drain fails the readiness checks, serves until the load balancer has detected it, waits for requests in flight and
-// closes the listeners.
+// drain fails the readiness checks, serves until the load balancer has detected it, and answers what was taken before
+// it returns.
 func (d *Daemon) drain() {
-	began := time.Now()
-	grace := d.Settings().Rules.Grace.Std()
-	events.DrainStarted.Log(d.options.Log, zap.Duration("grace", grace))
+	period := &d.dispatcher.Grace
+	length := d.Settings().Rules.Grace.Std()
+	events.DrainStarted.Log(d.options.Log, zap.Duration("grace", length))
+	d.callers.Drain()
+	period.Begin(time.Now(), length)
 	d.board.SetPhase(blackboard.Draining{})
 	d.sync.gossiper.Leave()
-	d.callers.Drain()
-	time.Sleep(time.Duration(serveShare * float64(grace)))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(exitShare*float64(grace))))
+	time.Sleep(time.Until(period.CloseAt()))
+	ctx, cancel := context.WithDeadline(context.Background(), period.ExitAt())
 	defer cancel()
 	events.ListenerClosed.Log(d.options.Log, d.unfinished()...)
-	if err := d.callers.Shutdown(ctx); err != nil {
+	if err := d.callers.Shutdown(ctx, period.AbandonAt()); err != nil {
 		events.DrainOverdue.Log(d.options.Log, append(d.unfinished(), zap.Error(err))...)
 	}
+	var others errgroup.Group
 	for _, stop := range []func(context.Context) error{d.readiness.Shutdown, d.peers.Shutdown, d.metrics.Shutdown} {
-		if err := stop(ctx); err != nil {
-			events.InterfaceFailed.Log(d.options.Log, zap.Error(err))
-		}
+		others.Go(func() error {
+			if err := stop(ctx); err != nil {
+				events.InterfaceFailed.Log(d.options.Log, zap.Error(err))
+			}
+			return nil
+		})
 	}
+	_ = others.Wait()
 }
 
 // unfinished returns the log fields that describe the callers' connections and the requests in flight.
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
@@ -31,8 +32,9 @@
 	Drain()
 	// Connections returns the number of connections by state: "new", "idle" or "active".
 	Connections() map[string]int
-	// Shutdown stops accepting connections, closes idle ones and waits for requests in flight.
-	Shutdown(ctx context.Context) error
+	// Shutdown stops accepting connections, closes those without a request and waits for the requests in flight. It gives
+	// up requests that have not arrived completely at abandonAt.
+	Shutdown(ctx context.Context, abandonAt time.Time) error
 }
 
 // ReadinessServer serves the readiness checks of the load balancer.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -6,6 +6,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/grace"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/permitclient"
 	"github.com/knapweedpoint/knapweedpoint/internal/retrybudget"
@@ -37,8 +38,8 @@
 	OnUnresponsive func(t inventory.Target)
 }
 
-// Run runs one job. It returns at the latest when the time of the job is up or when ctx is done because the caller is
-// gone.
+// Run runs one job. It returns at the latest when the time of the job is up or when ctx is done: because the caller is
+// gone, or because the daemon is about to exit.
 func (f *Forwarder) Run(ctx context.Context, j Job) (Outcome, Trace) {
 	b := f.Start([]Job{j})
 	defer b.Release()
@@ -47,7 +48,11 @@
 			return r.Outcome, r.Trace
 		}
 		if ctx.Err() != nil {
+			timedOut := b.runs[0].timedOut()
 			b.Abandon()
+			if grace.AnswerDue(ctx) {
+				return timedOut, b.runs[0].trace
+			}
 			return Lost{Reason: ReasonCallerGone}, b.runs[0].trace
 		}
 	}
--- a/internal/scatter/collection.go
+++ b/internal/scatter/collection.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
+	"github.com/knapweedpoint/knapweedpoint/internal/grace"
 	"github.com/knapweedpoint/knapweedpoint/internal/topk"
 )
 
@@ -21,6 +22,8 @@
 	mayHaveRun bool
 	lastReason string
 	retryAfter time.Duration
+	// timeUp is set when the search was ended before its deadline because the daemon is about to exit.
+	timeUp bool
 	// cutoffAt is when the collection processed the cutoff; zero when it ended before.
 	cutoffAt time.Time
 }
@@ -36,6 +39,8 @@
 		}
 		switch {
 		case len(results) > 0:
+		case grace.AnswerDue(ctx):
+			return c.endEarly()
 		case ctx.Err() != nil:
 			return Failed{Reason: forward.ReasonCallerGone}
 		default:
@@ -52,6 +57,15 @@
 	return c.merge()
 }
 
+// endEarly returns the outcome with the parts that have arrived.
+func (c *collection) endEarly() Outcome {
+	if len(c.signatures) >= c.need {
+		return c.merge()
+	}
+	c.timeUp, c.lastReason = true, forward.ReasonTimeout
+	return c.fail()
+}
+
 func (c *collection) record(r forward.JobResult) {
 	c.unfinished--
 	c.results[r.Index] = r
@@ -88,7 +102,7 @@
 // run it.
 func (c *collection) fail() Outcome {
 	if c.mayHaveRun || c.unfinished > 0 {
-		return Failed{Reason: c.lastReason, Timeout: !time.Now().Before(c.search.Deadline)}
+		return Failed{Reason: c.lastReason, Timeout: c.timeUp || !time.Now().Before(c.search.Deadline)}
 	}
 	return NotRun{Reason: c.lastReason, RetryAfter: c.retryAfter}
 }
