--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -138,6 +138,7 @@
 		}
 		d.reload("signal")
 	}
+	d.group.Go(func() error { d.handleFurtherSignals(ctx, signals); return nil })
 	d.drain()
 	cancel()
 	_ = d.sync.conn.Close()
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"os"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,6 +42,23 @@
 	_ = others.Wait()
 }
 
+// handleFurtherSignals handles the signals that arrive during a stop. A further signal to stop changes nothing, nor does
+// a new grace period.
+func (d *Daemon) handleFurtherSignals(ctx context.Context, signals <-chan os.Signal) {
+	for {
+		select {
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				d.reload("signal")
+				continue
+			}
+			events.SecondSignal.Log(d.options.Log, zap.Stringer("signal", sig))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // unfinished returns the log fields that describe the callers' connections and the requests in flight.
 func (d *Daemon) unfinished() []zap.Field {
 	return []zap.Field{zap.Any("connections", d.callers.Connections()), zap.Array("inFlight", &d.dispatcher.InFlight)}
