Finish the aggregator calls of peers before a daemon exits

Callers of other daemons got a failed search while one daemon was stopping: an entry daemon waits for its own callers on SIGTERM, but not for the calls that it gathers for other daemons. It exits as soon as its own callers have their answers, and the requesting daemons hold a hedge grant by then, so they give the shards up after an objective, with seconds left. A daemon that missed the announcement of the leave could still hand it calls that cannot end before the exit.

Aggregator.Drain refuses the calls of peers that may last until the exit; the requesting daemon calls the next aggregator at once, with all its attempts. Aggregator.Shutdown waits for the calls in progress. If it is told to stop waiting, it reports the shards without a result as lost, which is all that the requesting daemon may conclude from silence, and it need not wait for it. For 20 ms it repeats replies that a requesting daemon has missed.

The daemon does not call the two methods yet.

--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -1,6 +1,7 @@
 package aggregator
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -16,6 +17,9 @@
 	// retainFor is how long a finished call is retained so that its reply can be repeated; the requesting daemon does
 	// not send a call again after that.
 	retainFor = 2 * time.Second
+	// lingerFor is how long a daemon that stops still repeats the last replies for a requesting daemon that missed some:
+	// two hops between zones and one scheduling pause of a small VM.
+	lingerFor = 20 * time.Millisecond
 	// maxDuration bounds how long a call may run; the timeouts of routes are seconds.
 	maxDuration = 10 * time.Minute
 	// maxCalls bounds the calls in progress and retained together, of some 2 KB each. It allows for 45 searches a second
@@ -25,6 +29,8 @@
 
 // Aggregator runs the calls of requesting daemons. All exported fields except Scope and Log are required.
 type Aggregator struct {
+	// Name is the name of this daemon. Its own calls are not refused while it drains, because it waits for its callers.
+	Name      string
 	Forwarder *forward.Forwarder
 	// Ready reports whether the daemon knows targets and may send to them.
 	Ready func() bool
@@ -37,6 +43,11 @@
 	calls map[key]*call
 	// cancelled holds the calls that were cancelled before they arrived.
 	cancelled map[key]struct{}
+	// exitAt is when a draining daemon exits at the latest; it is zero until Drain. closed is set by Shutdown.
+	exitAt time.Time
+	closed bool
+	// running counts the calls in progress. It is not added to once closed is set.
+	running sync.WaitGroup
 }
 
 // key identifies a call.
@@ -56,21 +67,31 @@
 	if a.wasCancelled(k) {
 		return
 	}
-	if malformed(m) || !a.Ready() || a.Len() >= maxCalls {
-		reply(&gossippb.PartsReply{Id: m.GetId(), Refused: true})
+	if malformed(m) || !a.Ready() {
+		refuse(m, reply)
+		return
+	}
+	c := newCall(a, requester, m, reply, time.Now())
+	if !a.add(k, c) {
+		c.cancel()
+		refuse(m, reply)
 		return
 	}
 	if a.Scope != nil {
 		a.Scope.Counter("heldCalls").Inc(1)
 	}
-	c := newCall(a, requester, m, reply, time.Now())
-	a.add(k, c)
 	a.Workers.Go(func() {
+		defer a.running.Done()
 		c.run()
 		time.AfterFunc(retainFor, func() { a.remove(k) })
 	})
 }
 
+// refuse replies that nothing was sent to any target, so that the requesting daemon calls another aggregator at once.
+func refuse(m *gossippb.PartsCall, reply func(*gossippb.PartsReply)) {
+	reply(&gossippb.PartsReply{Id: m.GetId(), Refused: true})
+}
+
 // malformed reports whether a call has no shards, no objective or a timeout above maxDuration. No daemon sends such
 // calls.
 func malformed(m *gossippb.PartsCall) bool {
@@ -83,13 +104,20 @@
 	return a.calls[k]
 }
 
-func (a *Aggregator) add(k key, c *call) {
+// add adds a call to those in progress. It returns false if the call must be refused.
+func (a *Aggregator) add(k key, c *call) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	endsTooLate := !a.exitAt.IsZero() && k.requester != a.Name && c.deadline().After(a.exitAt)
+	if a.closed || endsTooLate || len(a.calls) >= maxCalls {
+		return false
+	}
 	if a.calls == nil {
 		a.calls = map[key]*call{}
 	}
 	a.calls[k] = c
+	a.running.Add(1)
+	return true
 }
 
 func (a *Aggregator) remove(k key) {
@@ -98,6 +126,41 @@
 	delete(a.calls, k)
 }
 
+// Drain makes the aggregator refuse the calls of other daemons that may last until exitAt, when this daemon exits at the
+// latest.
+func (a *Aggregator) Drain(exitAt time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.exitAt = exitAt
+}
+
+// Shutdown refuses all further calls and waits until those in progress have ended and their replies have arrived. When
+// ctx is done before the calls have ended, it reports the shards without a result as lost and returns the error of ctx.
+func (a *Aggregator) Shutdown(ctx context.Context) error {
+	a.mu.Lock()
+	a.closed = true
+	a.mu.Unlock()
+	stop := context.AfterFunc(ctx, a.giveUp)
+	a.running.Wait()
+	ended := stop()
+	if a.Len() > 0 {
+		time.Sleep(lingerFor)
+	}
+	if ended {
+		return nil
+	}
+	return ctx.Err()
+}
+
+// giveUp ends all calls in progress.
+func (a *Aggregator) giveUp() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, c := range a.calls {
+		c.giveUp()
+	}
+}
+
 // Cancel stops a call whose requesting daemon no longer waits. A call that arrives after its cancellation is not run.
 func (a *Aggregator) Cancel(requester string, id uint64) {
 	k := key{requester: requester, id: id}
--- a/internal/aggregator/aggregator_test.go
+++ b/internal/aggregator/aggregator_test.go
@@ -1,6 +1,7 @@
 package aggregator_test
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -41,6 +42,11 @@
 	}
 }
 
+// drain returns a step that makes the aggregator drain until it exits after the given time.
+func drain(exitAfter time.Duration) func(*aggregator.Aggregator, func(*gossippb.PartsReply)) {
+	return func(a *aggregator.Aggregator, _ func(*gossippb.PartsReply)) { a.Drain(time.Now().Add(exitAfter)) }
+}
+
 func TestHandleCallByAggregatorState(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -54,6 +60,17 @@
 		{"the call arrived before", true, func(a *aggregator.Aggregator, reply func(*gossippb.PartsReply)) { a.HandleCall("vm1", call(1), reply) }, false, 1},
 		{"another daemon's call has the same id", true, func(a *aggregator.Aggregator, reply func(*gossippb.PartsReply)) { a.HandleCall("vm2", call(1), reply) }, false, 2},
 		{"the call was cancelled before it arrived", true, func(a *aggregator.Aggregator, _ func(*gossippb.PartsReply)) { a.Cancel("vm1", 1) }, false, 0},
+		{"drains, the call ends before the exit", true, drain(800 * time.Millisecond), false, 1},
+		{"drains, the call may last longer", true, drain(799 * time.Millisecond), true, 0},
+		{"drains, the call is its own", true, func(a *aggregator.Aggregator, reply func(*gossippb.PartsReply)) {
+			a.Name = "vm1"
+			drain(0)(a, reply)
+		}, false, 1},
+		{"has shut down", true, func(a *aggregator.Aggregator, _ func(*gossippb.PartsReply)) { _ = a.Shutdown(context.Background()) }, true, 0},
+		{"shuts down, the call arrived before", true, func(a *aggregator.Aggregator, reply func(*gossippb.PartsReply)) {
+			a.HandleCall("vm1", call(1), reply)
+			_ = a.Shutdown(context.Background())
+		}, false, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/aggregator/call.go
+++ b/internal/aggregator/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -32,6 +33,12 @@
 	cutoffMargin = 4 * time.Millisecond
 )
 
+// ReasonLeaving is the reason given for shards that had no result when their aggregator exited.
+const ReasonLeaving = "holderLeaving"
+
+// errLeaving is the cause of the end of a call whose aggregator exits.
+var errLeaving = errors.New("aggregator is leaving")
+
 // call is one call of a requesting daemon, in progress or retained.
 type call struct {
 	aggregator *Aggregator
@@ -39,15 +46,17 @@
 	message    *gossippb.PartsCall
 	reply      func(*gossippb.PartsReply)
 	ctx        context.Context
-	cancel     context.CancelFunc
-	startedAt  time.Time
+	// cancel ends the call without a reply, giveUp with a reply that its unfinished shards are lost.
+	cancel, giveUp context.CancelFunc
+	startedAt      time.Time
 	// cutoff is when the available parts are sent: cutoffMargin before the requesting daemon answers if it has enough
 	// parts. pastCutoff is set once a reply has been sent at or after that time.
 	cutoff     time.Time
 	pastCutoff bool
 	// nextReply is when the next reply is due.
-	nextReply  time.Time
-	unfinished int
+	nextReply time.Time
+	// pending holds the shards without a result, by their position in the call.
+	pending map[int]bool
 	// unsent holds the shards that have a result which has not been sent yet.
 	unsent []forward.JobResult
 	// anomalies holds the traces of the shards that were sent to more than once or have no part.
@@ -61,13 +70,21 @@
 }
 
 func newCall(a *Aggregator, requester string, m *gossippb.PartsCall, reply func(*gossippb.PartsReply), now time.Time) *call {
-	ctx, cancel := context.WithDeadline(context.Background(), now.Add(millis(m.GetLeftMillis())))
-	return &call{
-		aggregator: a, requester: requester, message: m, reply: reply, ctx: ctx, cancel: cancel, startedAt: now,
-		cutoff:     now.Add(time.Duration(m.GetCutMillis())*time.Millisecond - cutoffMargin),
-		unfinished: len(m.GetShards()),
-		anomalies:  map[string]forward.Trace{},
+	c := &call{
+		aggregator: a, requester: requester, message: m, reply: reply, startedAt: now,
+		cutoff:    now.Add(time.Duration(m.GetCutMillis())*time.Millisecond - cutoffMargin),
+		pending:   lo.SliceToMap(lo.Range(len(m.GetShards())), func(i int) (int, bool) { return i, true }),
+		anomalies: map[string]forward.Trace{},
 	}
+	parent, cancelParent := context.WithCancelCause(context.Background())
+	c.ctx, c.cancel = context.WithDeadline(parent, c.deadline())
+	c.giveUp = func() { cancelParent(errLeaving) }
+	return c
+}
+
+// deadline returns when the requesting daemon stops waiting.
+func (c *call) deadline() time.Time {
+	return c.startedAt.Add(millis(c.message.GetLeftMillis()))
 }
 
 // run queries the targets of the shards and replies until all shards have a result or the requesting daemon stops
@@ -81,9 +98,13 @@
 	defer batch.Release()
 	hedgeDelay := time.Duration(targetselect.HedgeDelayFactor * float64(c.aggregator.Forwarder.TypicalLatency(partswire.DecodeRoute(c.message))))
 	c.nextReply = c.startedAt.Add(min(c.objectiveShare(firstReply), max(hedgeDelay-grantLead, 0)))
-	for c.unfinished > 0 {
+	for len(c.pending) > 0 {
 		results := batch.Next(c.ctx, c.wake())
 		if len(results) == 0 && c.ctx.Err() != nil {
+			if errors.Is(context.Cause(c.ctx), errLeaving) {
+				c.markLost(batch, time.Now())
+				c.log()
+			}
 			batch.Abandon()
 			return
 		}
@@ -97,8 +118,16 @@
 	c.log()
 }
 
+// markLost reports the shards without a result as lost, because their targets may still be running them.
+func (c *call) markLost(batch *forward.Batch, now time.Time) {
+	for shard := range c.pending {
+		c.record(forward.JobResult{Index: shard, Outcome: forward.Lost{Reason: ReasonLeaving}, Trace: batch.PendingTrace(shard, now)})
+	}
+	c.sendReply(now)
+}
+
 func (c *call) jobs() []forward.Job {
-	deadline := c.startedAt.Add(millis(c.message.GetLeftMillis()))
+	deadline := c.deadline()
 	route, request := partswire.DecodeRoute(c.message), partswire.DecodeRequest(c.message.GetRequest())
 	return lo.Map(c.message.GetShards(), func(shard string, _ int) forward.Job {
 		return forward.Job{
@@ -123,11 +152,11 @@
 // due reports whether a reply must be sent now. After the cutoff every part is sent at once, because it may be the
 // one that the requesting daemon is waiting for.
 func (c *call) due(now time.Time) bool {
-	return c.unfinished == 0 || !now.Before(c.wake()) || c.pastCutoff && len(c.unsent) > 0
+	return len(c.pending) == 0 || !now.Before(c.wake()) || c.pastCutoff && len(c.unsent) > 0
 }
 
 func (c *call) record(r forward.JobResult) {
-	c.unfinished--
+	delete(c.pending, r.Index)
 	c.unsent = append(c.unsent, r)
 	if _, done := r.Outcome.(forward.Done); !done || len(r.Trace.Sends) != 1 || r.Trace.Hedged > 0 {
 		c.anomalies[c.message.GetShards()[r.Index]] = r.Trace
--- a/internal/aggregatorclient/client_test.go
+++ b/internal/aggregatorclient/client_test.go
@@ -110,7 +110,7 @@
 		Sender: f.sender, Selector: &targetselect.Selector{AvailabilityZone: zone}, Gate: &sendgate.Gate{}, Budget: budget,
 		Inventory: func() inventory.Inventory { return f.inventory }, Workers: &f.pool,
 	}
-	f.aggregators[name] = &aggregator.Aggregator{Forwarder: forwarder, Ready: func() bool { return true }, Workers: &f.pool}
+	f.aggregators[name] = &aggregator.Aggregator{Name: name, Forwarder: forwarder, Ready: func() bool { return true }, Workers: &f.pool}
 	f.roots[name] = &aggregatorclient.Client{
 		Name: name, AvailabilityZone: zone, Direct: scatter.Direct{Forwarder: forwarder}, Table: &f.table, Peers: link{fleet: f, name: name},
 	}
@@ -170,12 +170,17 @@
 
 // search runs one search on a daemon.
 func (f *fleet) search(ctx context.Context, at string) (scatter.Outcome, scatter.Trace, time.Duration) {
+	return f.searchWithin(ctx, at, 800*time.Millisecond)
+}
+
+// searchWithin runs one search with the given timeout on a daemon.
+func (f *fleet) searchWithin(ctx context.Context, at string, timeout time.Duration) (scatter.Outcome, scatter.Trace, time.Duration) {
 	d := routetable.Scatter{Shards: shardNames(), TopK: 20, MinCoverage: 0.95}
 	g := scatter.Gatherer{Runner: f.roots[at], Margin: margin}
 	start := time.Now()
 	out, trace := g.Run(ctx, scatter.Search{
 		Route:   routetable.Route{Host: "h", Prefix: "/p/", Idempotent: true, Attempts: 2, Objective: objective, Destination: d},
-		Scatter: d, Request: targetcall.Request{ID: "r", Method: "GET", Path: "/p/1"}, ReceivedAt: start, Deadline: start.Add(800 * time.Millisecond),
+		Scatter: d, Request: targetcall.Request{ID: "r", Method: "GET", Path: "/p/1"}, ReceivedAt: start, Deadline: start.Add(timeout),
 	})
 	return out, trace, time.Since(start)
 }
