Broadcast to daemons that are leaving as well

A stopping daemon serves for seconds after it has announced its leave, but its peers dropped it from their broadcasts at that moment. Until its exit it got no pushes of the platform state, no announced rate limits, crashes and stall hints, and not the leave of a daemon that stopped shortly after it: where daemons stop in series it went on to hand calls and permit requests to those that exit before it answers its last callers. Gossip rounds told it seconds later.

The broadcasts go to all live daemons now. One that has exited counts as live until its heartbeat times out, as one that has died does.

TestLeavingDaemonLearnsWhatHappensUntilItsExit fails without this: the daemon gets no push, and counts the second one that leaves as alive.

--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -109,14 +109,14 @@
 	}
 }
 
-// Broadcast sends a datagram to every live peer.
+// Broadcast sends a datagram to every live peer, including those that are leaving.
 func (g *Gossiper) Broadcast(d *gossippb.Datagram) {
 	d.Self = encodeMember(g.Roster.Self().WithoutAddress())
 	data, ok := g.encode(d)
 	if !ok {
 		return
 	}
-	for _, p := range g.Roster.Peers(time.Now()) {
+	for _, p := range g.Roster.PeersAndLeaving(time.Now()) {
 		g.write(p, kindOf(d), data)
 	}
 }
@@ -132,7 +132,7 @@
 func (g *Gossiper) AnnounceSettled() {
 	g.Roster.MarkSettled()
 	self := encodeMember(g.Roster.AdvanceHeartbeat())
-	for _, p := range g.Roster.Peers(time.Now()) {
+	for _, p := range g.Roster.PeersAndLeaving(time.Now()) {
 		g.send(p, &gossippb.Datagram{Self: self})
 	}
 }
--- a/internal/gossip/gossiper_test.go
+++ b/internal/gossip/gossiper_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -164,6 +165,52 @@
 	})
 }
 
+// recorder is a Receiver that counts the pushes that it receives.
+type recorder struct{ pushes atomic.Int32 }
+
+func (r *recorder) HandleDatagram(_ roster.Member, d *gossippb.Datagram) {
+	if d.GetPush() != nil {
+		r.pushes.Add(1)
+	}
+}
+
+// Guards against daemons that serve their last requests with an old state, or hand work to others that stop as well: they
+// stop in series, and each of them leaves some seconds before it exits.
+func TestLeavingDaemonLearnsWhatHappensUntilItsExit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := &network{inboxes: map[string]chan []byte{}}
+		members := lo.Times(5, func(i int) roster.Member {
+			return roster.Member{Name: fmt.Sprint("vm", i), Address: address(i), Incarnation: 1}
+		})
+		var group errgroup.Group
+		var received recorder
+		gossipers := lo.Map(members, func(m roster.Member, i int) *gossip.Gossiper {
+			g := &gossip.Gossiper{Roster: roster.New(m), Conn: nw.listen(address(i)), Receiver: discard{}}
+			if i == 0 {
+				g.Receiver = &received
+			}
+			g.Roster.Merge(members, time.Now())
+			group.Go(func() error { g.Receive(); return nil })
+			return g
+		})
+		gossipers[0].Leave()
+		synctest.Wait()
+		gossipers[1].Leave()
+		gossipers[2].Broadcast(&gossippb.Datagram{Push: &gossippb.Push{}})
+		gossipers[3].AnnounceSettled()
+		synctest.Wait()
+		for _, g := range gossipers {
+			close(g.Conn.(*socket).closed)
+		}
+		_ = group.Wait()
+		known := gossipers[0].Roster
+		require.EqualValues(t, 1, received.pushes.Load(), "pushes")
+		require.Equal(t, []string{"vm2", "vm3", "vm4"}, known.AliveNames(time.Now()))
+		settled, _ := known.Find("vm3")
+		require.True(t, settled.Settled)
+	})
+}
+
 // A daemon may send 3 KB/s of control traffic in a fleet of 450 daemons. Its gossip traffic must not grow with the
 // fleet.
 func TestGossipIsBoundedByDaemonNotByFleet(t *testing.T) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -139,11 +139,17 @@
 
 // Peers returns the other daemons that are alive and not leaving, ordered by name.
 func (r *Roster) Peers(now time.Time) []Member {
+	return lo.Reject(r.PeersAndLeaving(now), func(m Member, _ int) bool { return m.Leaving })
+}
+
+// PeersAndLeaving returns the other daemons that are alive, ordered by name. Those that are leaving still serve their last
+// requests.
+func (r *Roster) PeersAndLeaving(now time.Time) []Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Member
 	for _, rec := range r.known {
-		if now.Sub(rec.lastSeen) <= r.livenessTimeout() && !rec.member.Leaving {
+		if now.Sub(rec.lastSeen) <= r.livenessTimeout() {
 			out = append(out, rec.member)
 		}
 	}
