Issue permits while all daemons are leaving

A daemon that announces its leave no longer counts as live, to its peers and to itself. Where no live daemon was left, because the only one stopped or all stopped together, targets with rate limits had no issuer. Requests for them were refused with "targetsLimited" from the next housekeeping round until the exit, though the daemons still take requests for seconds, and the limit was free.

When all are leaving, the leaving daemons issue the permits among themselves. They share the limit as live daemons do, so it is not exceeded.

A case of TestMergeKeepsTheNewerRecord covers a daemon that is restarted while its peers hold it as leaving; it passed before.

--- a/internal/entry/housekeeper.go
+++ b/internal/entry/housekeeper.go
@@ -88,7 +88,7 @@
 	r := d.Settings().Rules
 	h.gate.SetMembers(d.Settings().Name, h.senders(now))
 	h.settle(now)
-	d.assignIssuers(alive, h.roster.RecentCount())
+	d.assignIssuers(h.roster.Serving(now), h.roster.RecentCount())
 	if table := d.State().OperatorState.Table; table != nil {
 		d.options.Pool.SetMaxIdle(d.connectionShare(len(alive)))
 		d.setColdRules(table)
--- a/internal/entry/permits.go
+++ b/internal/entry/permits.go
@@ -58,17 +58,17 @@
 	}
 }
 
-// assignIssuers assigns the targets that have rate limits to issuers among the settled daemons, or among all live ones
+// assignIssuers assigns the targets that have rate limits to issuers among the settled daemons, or among all serving ones
 // if none is settled yet. recent is the number of daemons that were alive recently.
-func (d *Daemon) assignIssuers(alive []roster.Member, recent int) {
-	settled := lo.Filter(alive, func(m roster.Member, _ int) bool { return m.Settled })
+func (d *Daemon) assignIssuers(serving []roster.Member, recent int) {
+	settled := lo.Filter(serving, func(m roster.Member, _ int) bool { return m.Settled })
 	if len(settled) == 0 {
-		settled = alive
+		settled = serving
 	}
 	members := lo.Map(settled, func(m roster.Member, _ int) issuertable.Member {
 		return issuertable.Member{Name: m.Name, AvailabilityZone: m.AvailabilityZone}
 	})
-	reachable := float64(len(alive)) / float64(max(recent, len(alive)))
+	reachable := float64(len(serving)) / float64(max(recent, len(serving)))
 	if !d.issuers.Get().Same(members, reachable) {
 		d.issuers.Set(issuertable.New(d.Settings().Name, members, reachable))
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -171,6 +171,15 @@
 	return alive
 }
 
+// Serving returns all live daemons that are not leaving or, if there are none, those that are leaving, including the daemon
+// itself.
+func (r *Roster) Serving(now time.Time) []Member {
+	if alive := r.Alive(now); len(alive) > 0 {
+		return alive
+	}
+	return append(r.PeersAndLeaving(now), r.Self())
+}
+
 // KnownNames returns the names of all daemons that were alive within the last minute, including the daemon itself.
 func (r *Roster) KnownNames() []string {
 	r.mu.Lock()
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -16,6 +16,11 @@
 	return roster.Member{Name: name, Address: name + ":1", Incarnation: incarnation, Heartbeat: heartbeat}
 }
 
+func leaving(m roster.Member) roster.Member {
+	m.Leaving = true
+	return m
+}
+
 func TestMembersWithoutAddressUpdateOnlyKnownMembers(t *testing.T) {
 	r := roster.New(member("a", 1, 0))
 	r.Merge([]roster.Member{member("b", 1, 1).WithoutAddress()}, time.Now())
@@ -34,6 +39,7 @@
 		{"greater beat", member("b", 1, 5), member("b", 1, 6), 6},
 		{"smaller beat", member("b", 1, 5), member("b", 1, 4), 5},
 		{"new incarnation replaces the old one", member("b", 1, 5), member("b", 2, 1), 1},
+		{"new incarnation of a leaving member", leaving(member("b", 1, 5)), member("b", 2, 1), 1},
 		{"older incarnation is ignored", member("b", 2, 1), member("b", 1, 9), 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -48,9 +54,7 @@
 func TestUnresponsiveAndLeavingMembersAreNotAlive(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := roster.New(member("a", 1, 0))
-		leaving := member("c", 1, 1)
-		leaving.Leaving = true
-		r.Merge([]roster.Member{member("b", 1, 1), leaving, member("a", 9, 9)}, time.Now())
+		r.Merge([]roster.Member{member("b", 1, 1), leaving(member("c", 1, 1)), member("a", 9, 9)}, time.Now())
 		require.Equal(t, []string{"b", "a"}, r.AliveNames(time.Now()))
 		time.Sleep(roster.LivenessTimeout / 2)
 		r.Merge([]roster.Member{member("b", 1, 1)}, time.Now())
@@ -59,6 +63,7 @@
 		require.ElementsMatch(t, []string{"a", "b", "c"}, r.KnownNames())
 		r.MarkLeaving()
 		require.Empty(t, r.AliveNames(time.Now()))
+		require.Len(t, r.Serving(time.Now()), 1)
 		time.Sleep(2 * time.Minute)
 		r.Merge(nil, time.Now())
 		require.Equal(t, []string{"a"}, r.KnownNames())
