Repeat the announcement of a leave

A daemon that stops announced its leave with one datagram to each peer. A peer whose datagram was lost learned it from gossip, and went on to send calls and permit requests meanwhile; those that crossed the exit stayed without a reply, so that a search waited for half of its objective before it was sent to the fallback.

The next two gossip rounds announce the leave to all peers again. TestLostLeaveIsRepeated fails without this: after one round most of the peers count the daemon as alive.

--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -34,6 +35,9 @@
 	// seedEvery is the number of rounds between datagrams to a seed, which reunite a fleet after a network
 	// partition.
 	seedEvery = 5
+	// leaveRepeats is the number of rounds after a leave that announce it again, for peers whose datagram was lost. Each
+	// sends about 40 bytes to every peer.
+	leaveRepeats = 2
 	// MaxDatagram is the maximum size of a datagram in bytes; UDP allows up to 64 KB.
 	MaxDatagram = 32 << 10
 )
@@ -66,6 +70,8 @@
 	// ends the process.
 	OnPanic func(value any, stack []byte)
 
+	// leavesToSend is the number of rounds that still announce this daemon's leave.
+	leavesToSend atomic.Int32
 	// syncLimiter limits the rate of membership syncs to one daemon, as other daemons send them too.
 	syncLimiter throttle.Limiter
 }
@@ -101,6 +107,10 @@
 	if g.Crashes != nil {
 		d.Crashes = g.Crashes()
 	}
+	if g.leavesToSend.Load() > 0 {
+		g.leavesToSend.Add(-1)
+		g.Broadcast(&gossippb.Datagram{})
+	}
 	for _, p := range g.Roster.SamplePreferringZone(fanOut, now) {
 		g.send(p, d)
 	}
@@ -121,11 +131,13 @@
 	}
 }
 
-// Leave notifies all live peers at once that this daemon is leaving. Gossip would take seconds in a large fleet.
+// Leave notifies all live peers at once that this daemon is leaving, and again in the next rounds. Gossip would take seconds
+// in a large fleet.
 func (g *Gossiper) Leave() {
 	g.Roster.MarkLeaving()
 	g.Roster.AdvanceHeartbeat()
 	g.Broadcast(&gossippb.Datagram{})
+	g.leavesToSend.Store(leaveRepeats)
 }
 
 // AnnounceSettled notifies all live peers at once that this daemon is settled.
--- a/internal/gossip/gossiper_test.go
+++ b/internal/gossip/gossiper_test.go
@@ -24,6 +24,8 @@
 	mu      sync.Mutex
 	inboxes map[string]chan []byte
 	bytes   int
+	// lost is set while all datagrams are lost.
+	lost bool
 }
 
 // socket is one daemon's end of the network.
@@ -48,6 +50,12 @@
 	return n.bytes
 }
 
+func (n *network) setLost(lost bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lost = lost
+}
+
 func (s *socket) ReadFrom(b []byte) (int, net.Addr, error) {
 	select {
 	case data := <-s.inbox:
@@ -61,6 +69,9 @@
 	s.network.mu.Lock()
 	defer s.network.mu.Unlock()
 	s.network.bytes += len(b)
+	if s.network.lost {
+		return len(b), nil
+	}
 	select {
 	case s.network.inboxes[to.String()] <- append([]byte(nil), b...):
 	default:
@@ -165,6 +176,43 @@
 	})
 }
 
+// Guards against calls and permit requests that are sent to a daemon after its exit by peers that missed its leave: in a
+// fleet of this size, gossip tells some of them only after it.
+func TestLostLeaveIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := &network{inboxes: map[string]chan []byte{}}
+		ctx, cancel := context.WithCancel(context.Background())
+		members := lo.Times(139, func(i int) roster.Member {
+			return roster.Member{Name: fmt.Sprint("vm", i), Address: address(i), Incarnation: 1}
+		})
+		var group errgroup.Group
+		gossipers := lo.Map(members, func(m roster.Member, i int) *gossip.Gossiper {
+			g := &gossip.Gossiper{
+				Roster: roster.New(m), Conn: nw.listen(address(i)), Receiver: discard{},
+				Advertised: func() (uint64, uint64) { return 1, 1 }, Seeds: func() []string { return nil },
+			}
+			g.Roster.Merge(members, time.Now())
+			group.Go(func() error { g.Receive(); return nil })
+			group.Go(func() error { g.Run(ctx); return nil })
+			return g
+		})
+		synctest.Wait()
+		nw.setLost(true)
+		gossipers[0].Leave()
+		nw.setLost(false)
+		time.Sleep(gossip.Interval + time.Millisecond)
+		synctest.Wait()
+		cancel()
+		for _, g := range gossipers {
+			close(g.Conn.(*socket).closed)
+		}
+		_ = group.Wait()
+		for _, g := range gossipers[1:] {
+			require.NotContains(t, g.Roster.AliveNames(time.Now()), "vm0")
+		}
+	})
+}
+
 // recorder is a Receiver that counts the pushes that it receives.
 type recorder struct{ pushes atomic.Int32 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -56,6 +56,8 @@
 		r := roster.New(member("a", 1, 0))
 		r.Merge([]roster.Member{member("b", 1, 1), leaving(member("c", 1, 1)), member("a", 9, 9)}, time.Now())
 		require.Equal(t, []string{"b", "a"}, r.AliveNames(time.Now()))
+		_, found := r.Find("c")
+		require.True(t, found, "replies to a leaving member have an address")
 		time.Sleep(roster.LivenessTimeout / 2)
 		r.Merge([]roster.Member{member("b", 1, 1)}, time.Now())
 		time.Sleep(roster.LivenessTimeout/2 + time.Millisecond)
