Count leaving daemons in the shares of retries and connections

Hedges, retries and idle connections are divided among the live daemons, and a daemon that announced its leave no longer counted as one. It still sends to targets until its exit, with a share of its own, so that many daemons that stop together or in series could send more additional requests than the allowance of the fleet, and keep more connections than a target accepts.

The shares now count the daemons that are leaving, until their exit is known.

TestRetryBudgetsOfAStoppingFleetAddUpToTheAllowance fails without this: of 40 daemons with a slack of 200, 30 leaving ones and the rest together get 680 additional sends, and 40 leaving ones 840. With 1 and 10 leaving it passed before, because of the budget's margin.

--- a/internal/entry/housekeeper.go
+++ b/internal/entry/housekeeper.go
@@ -84,17 +84,19 @@
 func (h *housekeeper) updateShares(now time.Time) {
 	d := h.daemon
 	alive := h.roster.Alive(now)
+	// Daemons that are leaving still send to targets.
+	sending := len(h.roster.PeersAndLeaving(now)) + 1
 	h.assign(alive)
 	r := d.Settings().Rules
 	h.gate.SetMembers(d.Settings().Name, h.senders(now))
 	h.settle(now)
 	d.assignIssuers(h.roster.Serving(now), h.roster.RecentCount())
 	if table := d.State().OperatorState.Table; table != nil {
-		d.options.Pool.SetMaxIdle(d.connectionShare(len(alive)))
+		d.options.Pool.SetMaxIdle(d.connectionShare(sending))
 		d.setColdRules(table)
 	}
 	rule := retrybudget.Rule{Ratio: r.RetryRatio, Slack: r.RetrySlack, Window: r.RetryWindow.Std()}
-	h.budget.SetRule(rule, d.retryShare(len(alive)))
+	h.budget.SetRule(rule, d.retryShare(sending))
 	if len(alive) != h.memberCount {
 		events.MembersChanged.Log(d.options.Log, zap.Int("before", h.memberCount), zap.Int("members", len(alive)))
 		h.memberCount = len(alive)
