--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -139,11 +139,17 @@
 
 // Peers returns the other daemons that are alive and not leaving, ordered by name.
 func (r *Roster) Peers(now time.Time) []Member {
+	return lo.Reject(r.PeersAndLeaving(now), func(m Member, _ int) bool { return m.Leaving })
+}
+
+// PeersAndLeaving returns the other daemons that are alive, ordered by name. Those that are leaving still serve their last
+// requests.
+func (r *Roster) PeersAndLeaving(now time.Time) []Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Member
 	for _, rec := range r.known {
-		if now.Sub(rec.lastSeen) <= r.livenessTimeout() && !rec.member.Leaving {
+		if now.Sub(rec.lastSeen) <= r.livenessTimeout() {
 			out = append(out, rec.member)
 		}
 	}
@@ -165,6 +171,15 @@
 	return alive
 }
 
+// Serving returns all live daemons that are not leaving or, if there are none, those that are leaving, including the daemon
+// itself.
+func (r *Roster) Serving(now time.Time) []Member {
+	if alive := r.Alive(now); len(alive) > 0 {
+		return alive
+	}
+	return append(r.PeersAndLeaving(now), r.Self())
+}
+
 // KnownNames returns the names of all daemons that were alive within the last minute, including the daemon itself.
 func (r *Roster) KnownNames() []string {
 	r.mu.Lock()
