--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -22,6 +22,7 @@
 	d.callers.Drain()
 	period.Begin(time.Now(), length)
 	d.board.SetPhase(blackboard.Draining{})
+	d.aggregator.Drain(period.AbandonAt())
 	d.sync.gossiper.Leave()
 	time.Sleep(time.Until(period.CloseAt()))
 	ctx, cancel := context.WithDeadline(context.Background(), period.ExitAt())
@@ -30,6 +31,7 @@
 	if err := d.callers.Shutdown(ctx, period.AbandonAt()); err != nil {
 		events.DrainOverdue.Log(d.options.Log, append(d.unfinished(), zap.Error(err))...)
 	}
+	d.endCalls(period.AbandonAt())
 	var others errgroup.Group
 	for _, stop := range []func(context.Context) error{d.readiness.Shutdown, d.peers.Shutdown, d.metrics.Shutdown} {
 		others.Go(func() error {
@@ -42,6 +44,15 @@
 	_ = others.Wait()
 }
 
+// endCalls waits for the calls of other daemons until the given time, and then tells them which shards are lost.
+func (d *Daemon) endCalls(until time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	if err := d.aggregator.Shutdown(ctx); err != nil {
+		events.DrainOverdue.Log(d.options.Log, zap.String("calls", "of other daemons"), zap.Error(err))
+	}
+}
+
 // handleFurtherSignals handles the signals that arrive during a stop. A further signal to stop changes nothing, nor does
 // a new grace period.
 func (d *Daemon) handleFurtherSignals(ctx context.Context, signals <-chan os.Signal) {
