Read a team's subtree again if it arrives cut short

A daemon of `serve` whose platform closed the connection within a subtree that it sent without Content-Length or chunks, or before its first byte, kept the cut subtree under its digest. It refused that configuration and would refuse each later one with the same subtree, while it reported its own as confirmed.

Cause: the subtree was taken as raw JSON and first parsed with the whole configuration. The refusal there meant an invalid configuration, not one that had not been read.

Evidence: TestReplyCutAfterAnyByteIsUnavailable and TestSubtreeCutShortIsReadAgain failed on the code before: Client.Team returned no error for an empty body after a whole head, and the poll of the configuration succeeded. The index and the list of VMs were decoded at once and failed as they should, as did subtrees with a length or in chunks.

Why the fix works: a JSON object that is cut anywhere isn't JSON. The read fails as unavailable, so the revision isn't refused, nothing is kept, and the next poll reads again.

--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -52,7 +52,16 @@
 func (c *Client) Team(ctx context.Context, b Branch) (json.RawMessage, error) {
 	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
 	defer cancel()
-	return c.get(ctx, PathTeams+url.PathEscape(b.Team)+"?digest="+url.QueryEscape(b.Digest))
+	path := PathTeams + url.PathEscape(b.Team) + "?digest=" + url.QueryEscape(b.Digest)
+	data, err := c.get(ctx, path)
+	if err != nil {
+		return nil, err
+	}
+	if !json.Valid(data) {
+		// The end of a connection may have cut the reply short.
+		return nil, Unavailable.New("GET %s: reply of %d bytes is not JSON", path, len(data))
+	}
+	return data, nil
 }
 
 func (c *Client) watch(ctx context.Context, path string, after uint64, wait time.Duration, into any) error {
