Fix: a pipelined request stays in flight when a daemon stops

What callers saw: two requests sent at once on a kept connection shortly before the SIGTERM of a VM; when its listener closed, the second one was answered 502 at once and its sends were cancelled, although its target was at work and its time was not up.

Cause: gracefulhttp resets begun when the first request ends. The second one was read together with it, so no further read sets begun again, and Stop takes the connection for unused: its read deadline ends the server's background read, which tells the handler that the caller is gone.

Evidence: TestPipelinedRequestInFlightIsAnswered gets 502 before, 200 now.

Why it works: net/http reports each request as active, so begun is set for every request whatever read brought it.

--- a/internal/gracefulhttp/conn.go
+++ b/internal/gracefulhttp/conn.go
@@ -89,6 +89,11 @@
 func (c *conn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.markBegun()
+}
+
+// markBegun keeps the connection open for a request. The caller must hold mu.
+func (c *conn) markBegun() {
 	if c.begun {
 		return
 	}
@@ -102,6 +107,8 @@
 func (c *conn) becomeActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// A pipelined request may have been read together with the one before it.
+	c.markBegun()
 	c.active = true
 }
 
--- a/internal/gracefulhttp/tracker_test.go
+++ b/internal/gracefulhttp/tracker_test.go
@@ -241,6 +241,22 @@
 	}
 }
 
+// TestPipelinedRequestInFlightIsAnswered guards against a connection that counts as idle while a request on it is in
+// flight, because the request arrived together with the one before it: Stop ended the request as if its caller were gone.
+func TestPipelinedRequestInFlightIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		x := f.dial(t)
+		x.send(t, get+slow)
+		require.Equal(t, 200, x.receive())
+		synctest.Wait()
+		f.stop()
+		require.Equal(t, 200, x.receive())
+		require.Equal(t, slowFor, time.Since(f.stopAt))
+		require.NoError(t, f.tracker.Wait(t.Context()))
+	})
+}
+
 // TestRequestInFlightIsAnsweredAfterAbort guards against a caller that is taken for gone, or cut off, because requests
 // that have not arrived are given up.
 func TestRequestInFlightIsAnsweredAfterAbort(t *testing.T) {
