Fix: connections that wait when a daemon stops are accepted

What callers saw: a connection whose handshake was complete when the listener of a stopping VM closed was reset, with the request that had been sent on it.

Cause: Stop gives Accept 20 ms. A deadline that has passed hides connections that wait, so an accepting goroutine that runs later than that, as on a busy machine, accepts none of them. Any other error, such as too many open files, closed the listener at once.

Why it works: when the deadline has passed, Accept gets a last one of 5 ms, within which it returns what waits; other errors go to the caller, which tries again.

--- a/internal/gracefulhttp/listener.go
+++ b/internal/gracefulhttp/listener.go
@@ -1,27 +1,45 @@
 package gracefulhttp
 
 import (
+	"errors"
 	"net"
+	"os"
 	"time"
 )
 
+// lastAccept is the time for a last round of Accept. A deadline that has passed hides connections that wait.
+const lastAccept = 5 * time.Millisecond
+
 // listener tracks the connections that it accepts.
 type listener struct {
 	net.Listener
 	tracker *Tracker
+	// lastRound is set once connections that were hidden by the deadline are being accepted.
+	lastRound bool
 }
 
-// Accept returns the next connection. After the tracker's Stop it closes the listener once no connection waits.
+// Accept returns the next connection. After the tracker's Stop it closes the listener once no connection waits. It must
+// be called by one goroutine only.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err == nil {
-		return l.tracker.add(c), nil
-	}
-	if l.tracker.isStopping() {
+	for {
+		c, err := l.Listener.Accept()
+		if err == nil {
+			return l.tracker.add(c), nil
+		}
+		if !l.tracker.isStopping() {
+			return nil, err
+		}
+		switch {
+		case errors.Is(err, net.ErrClosed):
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, err
+		case !l.lastRound && l.setDeadline(lastAccept):
+			l.lastRound = true
+			continue
+		}
 		_ = l.Close()
 		return nil, net.ErrClosed
 	}
-	return nil, err
 }
 
 // Close closes the listener.
@@ -33,9 +51,15 @@
 
 // stop ends Accept after acceptLinger.
 func (l *listener) stop() {
-	if x, ok := l.Listener.(interface{ SetDeadline(t time.Time) error }); ok && x.SetDeadline(time.Now().Add(acceptLinger)) == nil {
+	if l.setDeadline(acceptLinger) {
 		return
 	}
 	// Close must not run here: the tracker's mutex is held.
 	_ = l.Listener.Close()
 }
+
+// setDeadline ends Accept after d. It reports false if the listener has no deadlines.
+func (l *listener) setDeadline(d time.Duration) bool {
+	x, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
+	return ok && x.SetDeadline(time.Now().Add(d)) == nil
+}
