Fix: a stopping daemon that was held up answers before it exits

What callers saw: a VM got no processor time while its answers were due and exited when it ran again, half a second before SIGKILL, with requests in flight. Their connections ended without an answer.

Cause: the daemon cuts what is in flight at 0.9 of the grace period. Answers are due at 0.85, so a stall of a twentieth of the period is enough. The cut before SIGKILL has no use: what it cuts, SIGKILL would cut later, and without a stall the daemon exits as soon as all requests have ended.

Why it works: the answers have until 0.98 of the period.

--- a/internal/grace/period.go
+++ b/internal/grace/period.go
@@ -19,8 +19,9 @@
 	answerShare = 0.85
 	// abandonShare is the share after which requests that have not arrived completely are given up.
 	abandonShare = 0.875
-	// exitShare is the share after which the daemon exits. The rest is for a signal that a busy machine delivers late.
-	exitShare = 0.9
+	// exitShare is the share after which the daemon exits and cuts what is left, as SIGKILL would. The rest is for its
+	// last log lines.
+	exitShare = 0.98
 )
 
 var errAnswerDue = errors.New("the daemon is about to exit")
