--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -55,6 +55,12 @@
 }
 
 func startFleet(t *testing.T, warm bool) *fleet {
+	t.Helper()
+	return startFleetWith(t, warm, func(d settings.Daemon) settings.Daemon { return d })
+}
+
+// startFleetWith starts a fleet with changed settings of its daemons.
+func startFleetWith(t *testing.T, warm bool, change func(settings.Daemon) settings.Daemon) *fleet {
 	t.Helper()
 	f := &fleet{t: t, dir: t.TempDir(), bin: build(t), targets: map[string]string{}, processes: map[string]*exec.Cmd{}}
 	t.Cleanup(f.stop)
@@ -72,6 +78,7 @@
 		_, err := fmt.Sscan(line, &d.name, &d.callers, &d.operators, &d.zone)
 		require.NoError(t, err)
 		f.daemons = append(f.daemons, d)
+		f.changeSettings(d, change)
 		f.start(d.name, "knapweedpoint", "serve", "--settings", f.path("daemon-"+d.name+".json"))
 	}
 	for _, d := range f.daemons {
@@ -84,6 +91,15 @@
 	return f
 }
 
+func (f *fleet) changeSettings(d *daemon, change func(settings.Daemon) settings.Daemon) {
+	file := "daemon-" + d.name + ".json"
+	s, problems := settings.ParseDaemon([]byte(f.read(file)))
+	require.Empty(f.t, problems)
+	data, err := json.Marshal(change(s))
+	require.NoError(f.t, err)
+	require.NoError(f.t, os.WriteFile(f.path(file), data, 0o600))
+}
+
 func (f *fleet) startTarget(name string, warm bool) {
 	args := []string{"target", "--options", f.path("target-" + name + ".json"), "--listen", f.targets[name]}
 	if warm {
--- /dev/null
+++ b/internal/process/stop_test.go
@@ -0,0 +1,218 @@
+package process
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/faketarget"
+	"github.com/knapweedpoint/knapweedpoint/pkg/caller"
+	"github.com/knapweedpoint/knapweedpoint/pkg/settings"
+)
+
+const (
+	balancerDelay = time.Second
+	drainLimit    = 2 * time.Second
+	// afterBalancerDelay is a time after a signal at which the daemon takes only requests that can end in time.
+	afterBalancerDelay = balancerDelay + 300*time.Millisecond
+	// longDeadline exceeds the whole stop.
+	longDeadline = 20 * time.Second
+)
+
+// connection is a caller's TCP connection. Unlike http.Client, it never repeats a request by itself.
+type connection struct {
+	t *testing.T
+	net.Conn
+	reader *bufio.Reader
+}
+
+// answer is an answer as read from a connection.
+type answer struct {
+	caller.Answer
+	status     int
+	retryAfter string
+	closes     bool
+}
+
+func startStoppingFleet(t *testing.T) *fleet {
+	t.Helper()
+	return startFleetWith(t, true, func(d settings.Daemon) settings.Daemon {
+		d.BalancerDelay = settings.Duration(balancerDelay)
+		d.DrainLimit = settings.Duration(drainLimit)
+		return d
+	})
+}
+
+func (f *fleet) connect(d *daemon) *connection {
+	c, err := net.Dial("tcp", d.callers)
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = c.Close() })
+	require.NoError(f.t, c.SetDeadline(time.Now().Add(waitTimeout)))
+	return &connection{t: f.t, Conn: c, reader: bufio.NewReader(c)}
+}
+
+func (f *fleet) setFaults(faults faketarget.Faults) {
+	for _, address := range f.targets {
+		f.put(address, faketarget.PathFaults, faults)
+	}
+}
+
+func (f *fleet) runs(key string) int {
+	n := 0
+	for name := range f.targets {
+		n += f.record(name).Runs[key]
+	}
+	return n
+}
+
+// exits waits for a stopping daemon and requires that no request was cut off.
+func (f *fleet) exits(d *daemon) {
+	require.NoError(f.t, f.processes[d.name].Wait())
+	require.NotContains(f.t, f.read(d.name+".out"), "drainOverdue")
+}
+
+func request(verb, group, key string, deadline time.Duration) string {
+	body, _ := json.Marshal(question(key, deadline))
+	return fmt.Sprintf("POST /v1/teams/visits/%s/%s HTTP/1.1\r\nHost: fleet\r\nContent-Type: application/json\r\n"+
+		"Idempotency-Key: %s\r\nContent-Length: %d\r\n\r\n%s", verb, group, key, len(body), body)
+}
+
+func (c *connection) write(text string) {
+	_, err := io.WriteString(c, text)
+	require.NoError(c.t, err)
+}
+
+// read reads one whole answer.
+func (c *connection) read() answer {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.reader, nil)
+	require.NoError(c.t, err, "the connection ended without an answer")
+	defer func() { _ = resp.Body.Close() }()
+	a := answer{status: resp.StatusCode, retryAfter: resp.Header.Get("Retry-After"), closes: resp.Close}
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(c.t, err, "the answer ended early")
+	require.NoError(c.t, json.Unmarshal(data, &a.Answer), string(data))
+	return a
+}
+
+// Guards against requests whose connection ended without an answer at the end of a stop, because their target was slow.
+func TestStopAnswersRequestsStillInFlightAtItsEnd(t *testing.T) {
+	f := startStoppingFleet(t)
+	f.setFaults(faketarget.Faults{Frozen: true})
+	d := f.daemons[0]
+	search, lookup, booking := f.connect(d), f.connect(d), f.connect(d)
+	search.write(request("search", "visitSearch", "search", longDeadline))
+	lookup.write(request("lookup", "jobCards", "lookup", longDeadline))
+	booking.write(request("booking", "grants", "booked", longDeadline))
+	f.eventually(func() bool { return f.runs("booked") == 1 }, "the booking has reached its target")
+	f.signal(d.name, syscall.SIGTERM)
+	for _, c := range []*connection{search, lookup, booking} {
+		a := c.read()
+		require.Equal(t, http.StatusGatewayTimeout, a.status)
+		require.Equal(t, "unknown", a.Outcome)
+		require.True(t, a.closes)
+	}
+	f.exits(d)
+	require.Equal(t, 1, f.runs("booked"))
+}
+
+// Guards against requests that were accepted late in a stop, passed on to a target and then cut off without an answer.
+func TestStopRefusesRequestsThatCannotEndInTime(t *testing.T) {
+	f := startStoppingFleet(t)
+	f.setFaults(faketarget.Faults{Frozen: true})
+	d := f.daemons[0]
+	search, booking := f.connect(d), f.connect(d)
+	f.signal(d.name, syscall.SIGTERM)
+	time.Sleep(balancerDelay - 200*time.Millisecond)
+	search.write(request("search", "visitSearch", "late", longDeadline)[:40])
+	booking.write(request("booking", "grants", "late", longDeadline)[:40])
+	time.Sleep(afterBalancerDelay - balancerDelay + 200*time.Millisecond)
+	search.write(request("search", "visitSearch", "late", longDeadline)[40:])
+	booking.write(request("booking", "grants", "late", longDeadline)[40:])
+	for _, c := range []*connection{search, booking} {
+		a := c.read()
+		require.Equal(t, http.StatusServiceUnavailable, a.status)
+		require.Equal(t, "notRun", a.Outcome)
+		require.NotEmpty(t, a.retryAfter)
+		require.Positive(t, a.RetryAfterMs)
+		require.True(t, a.closes)
+	}
+	f.exits(d)
+	f.setFaults(faketarget.Faults{})
+	require.Zero(t, f.runs("late"))
+}
+
+// Guards against a connection that was closed as idle although a request had begun on it.
+func TestStopAnswersRequestsThatHaveBegun(t *testing.T) {
+	f := startStoppingFleet(t)
+	d := f.daemons[0]
+	kept, fresh := f.connect(d), f.connect(d)
+	kept.write(request("lookup", "jobCards", "first", time.Second))
+	require.Equal(t, "done", kept.read().Outcome)
+	text := request("lookup", "jobCards", "second", 300*time.Millisecond)
+	kept.write(text[:40])
+	fresh.write(text[:40])
+	f.signal(d.name, syscall.SIGTERM)
+	time.Sleep(afterBalancerDelay)
+	for _, c := range []*connection{kept, fresh} {
+		c.write(text[40:])
+		a := c.read()
+		require.Equal(t, http.StatusOK, a.status)
+		require.Equal(t, "done", a.Outcome)
+		require.True(t, a.closes)
+	}
+	f.exits(d)
+}
+
+// Guards against callers that keep a connection to a stopping daemon until it is cut, because no answer tells them to close it.
+func TestStopTellsCallersToCloseTheirConnections(t *testing.T) {
+	f := startStoppingFleet(t)
+	d := f.daemons[0]
+	c := f.connect(d)
+	c.write(request("lookup", "jobCards", "before", time.Second))
+	require.False(t, c.read().closes)
+	f.signal(d.name, syscall.SIGTERM)
+	f.eventually(func() bool { return !f.ready(d) }, "%s is not ready", d.name)
+	c.write(request("lookup", "jobCards", "during", time.Second))
+	a := c.read()
+	require.Equal(t, "done", a.Outcome)
+	require.True(t, a.closes)
+	f.exits(d)
+}
+
+// Guards against a stop that waits for a connection on which nothing was ever sent, and then reports cut requests.
+func TestStopDoesNotWaitForUnusedConnections(t *testing.T) {
+	f := startStoppingFleet(t)
+	d := f.daemons[0]
+	f.signal(d.name, syscall.SIGTERM)
+	time.Sleep(balancerDelay / 2)
+	unused := f.connect(d)
+	f.exits(d)
+	_, err := unused.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against a booking that ran during a stop and whose outcome no other daemon knows afterwards.
+func TestStopKeepsTheOutcomeOfBookings(t *testing.T) {
+	f := startStoppingFleet(t)
+	d := f.daemons[0]
+	f.signal(d.name, syscall.SIGTERM)
+	c := f.connect(d)
+	c.write(request("booking", "grants", "kept", time.Second))
+	require.Equal(t, "done", c.read().Outcome)
+	f.exits(d)
+	enquiry := f.connect(f.daemons[1])
+	enquiry.write("GET /v1/teams/visits/booking/grants/kept HTTP/1.1\r\nHost: fleet\r\n\r\n")
+	a := enquiry.read()
+	require.Equal(t, "done", a.Outcome)
+	require.NotEmpty(t, a.Items)
+	require.Equal(t, 1, f.runs("kept"))
+}
