Serve: end connections without losing a request that has begun

Callers of a stopping daemon saw connections that ended without an answer after they had sent a whole request, or the rest of one. None of these requests was passed on, but callers could not know that. Answers did not tell callers to close, and a connection that was never used kept the daemon until drainOverdue.

Cause: http.Server.Shutdown drops each request whose head it reads after the call, closes a kept connection with half a request as idle, and waits 5 s for connections that were never used.

Change: the three interfaces end with gracefulhttp.Tracker in place of Shutdown. Answers to callers carry Connection: close from the signal on. Requests that have not arrived completely when all others are answered get 408. The last answers are given 1 s before the end, since net/http takes 0.5 s to close a connection with unread bytes; drainOverdue names its error.

Why it works: a connection is closed only if no byte of a request has been read from it, and one with a request ends with an answer.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,7 +14,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
-	"github.com/knapweedpoint/knapweedpoint/internal/boundedhttp"
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/heartbeat"
 	"github.com/knapweedpoint/knapweedpoint/internal/membership"
@@ -29,9 +28,10 @@
 	// drainNotifyDelay is the minimum time for which a stopping daemon still relays for peers that have not yet received its
 	// draining state.
 	drainNotifyDelay = time.Second
-	// answerTime is how long before the end of the drain limit the last answers are given, so that they can be written on a
-	// busy machine. It is at most a share of 1/answerDivisor of the drain limit.
-	answerTime    = 500 * time.Millisecond
+	// answerTime is how long before the end of the drain limit the last answers are given, at most a share of
+	// 1/answerDivisor of the limit. net/http takes half of it to close a connection with unread bytes; the rest is for
+	// writing on a busy machine.
+	answerTime    = time.Second
 	answerDivisor = 4
 )
 
@@ -41,7 +41,7 @@
 	log      *zap.Logger
 	injector do.Injector
 	node     *node.Node
-	servers  []*http.Server
+	servers  []*server
 	group    errgroup.Group
 }
 
@@ -95,16 +95,9 @@
 			events.ListenerFailed.Log(d.log, zap.String("address", x.address), zap.Error(err))
 			return errorx.ExternalError.Wrap(err, "listen on %s", x.address)
 		}
-		s := &http.Server{Handler: x.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: boundedhttp.MaxHeaderBytes}
+		s := newServer(x.handler)
 		d.servers = append(d.servers, s)
-		d.group.Go(func() error { return serve(s, l) })
-	}
-	return nil
-}
-
-func serve(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return errorx.ExternalError.Wrap(err, "serve %s", l.Addr())
+		d.group.Go(func() error { return s.serve(l) })
 	}
 	return nil
 }
@@ -167,20 +160,27 @@
 	acceptUntil := time.Now().Add(max(d.settings.BalancerDelay.Std(), drainNotifyDelay))
 	drainLimit := d.settings.DrainLimit.Std()
 	end := acceptUntil.Add(drainLimit)
-	d.node.Root.Stop.Set(acceptUntil, end.Add(-min(answerTime, drainLimit/answerDivisor)))
+	answerBy := end.Add(-min(answerTime, drainLimit/answerDivisor))
+	callers, operators, peers := d.servers[2], d.servers[1], d.servers[0]
+	callers.closing.Store(true)
+	d.node.Root.Stop.Set(acceptUntil, answerBy)
 	events.DrainStarted.Log(d.log)
 	d.node.Drain()
 	do.MustInvoke[*heartbeat.Sender](d.injector).Send()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	time.Sleep(time.Until(acceptUntil))
-	callers, operators, peers := d.servers[2], d.servers[1], d.servers[0]
-	timedOut := callers.Shutdown(ctx) != nil
-	timedOut = !d.waitUntil(ctx, d.node.Idle) || timedOut
-	timedOut = peers.Shutdown(ctx) != nil || timedOut
-	timedOut = !d.waitUntil(ctx, d.node.Outboxes.Idle) || timedOut
-	if timedOut {
-		events.DrainOverdue.Log(d.log)
+	err := callers.stop(ctx, answerBy)
+	err = errors.Join(err, d.waitUntilIdle(ctx, d.node.Idle))
+	err = errors.Join(err, peers.stop(ctx, end), d.waitUntilIdle(ctx, d.node.Outboxes.Idle), operators.stop(ctx, end))
+	if err != nil {
+		events.DrainOverdue.Log(d.log, zap.Error(err))
+	}
+}
+
+func (d *Daemon) waitUntilIdle(ctx context.Context, idle func() bool) error {
+	if d.waitUntil(ctx, idle) {
+		return nil
 	}
-	_ = operators.Shutdown(ctx)
+	return ctx.Err()
 }
