Stop: one limit for both interfaces; what serves others ends before the callers' time is over

The check of Period.Begun became one of Admit, as the method had no other use. A connection that becomes idle while a daemon begins to stop is closed like the others.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -31,26 +31,27 @@
 	if err := d.callers.Shutdown(ctx, period.AbandonAt()); err != nil {
 		events.DrainOverdue.Log(d.options.Log, append(d.unfinished(), zap.Error(err))...)
 	}
-	d.endCalls(period.AbandonAt())
-	var others errgroup.Group
-	for _, stop := range []func(context.Context) error{d.readiness.Shutdown, d.peers.Shutdown, d.metrics.Shutdown} {
-		others.Go(func() error {
-			if err := stop(ctx); err != nil {
-				events.InterfaceFailed.Log(d.options.Log, zap.Error(err))
-			}
-			return nil
-		})
-	}
-	_ = others.Wait()
+	d.endOthers(period.AbandonAt())
 }
 
-// endCalls waits for the calls of other daemons until the given time, and then tells them which shards are lost.
-func (d *Daemon) endCalls(until time.Time) {
+// endOthers ends what serves the other daemons, the load balancer and the operators, at the given time at the latest.
+// Calls of other daemons that have not ended by then are told which shards are lost.
+func (d *Daemon) endOthers(until time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
 	if err := d.aggregator.Shutdown(ctx); err != nil {
 		events.DrainOverdue.Log(d.options.Log, zap.String("calls", "of other daemons"), zap.Error(err))
 	}
+	var servers errgroup.Group
+	for _, stop := range []func(context.Context) error{d.readiness.Shutdown, d.peers.Shutdown, d.metrics.Shutdown} {
+		servers.Go(func() error {
+			if err := stop(ctx); err != nil {
+				events.InterfaceFailed.Log(d.options.Log, zap.Error(err))
+			}
+			return nil
+		})
+	}
+	_ = servers.Wait()
 }
 
 // handleFurtherSignals handles the signals that arrive during a stop. A further signal to stop changes nothing, nor does
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -6,12 +6,12 @@
 
 	"github.com/samber/lo"
 
-	"github.com/knapweedpoint/knapweedpoint/internal/grace"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/permitclient"
 	"github.com/knapweedpoint/knapweedpoint/internal/retrybudget"
 	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
 	"github.com/knapweedpoint/knapweedpoint/internal/sendgate"
+	"github.com/knapweedpoint/knapweedpoint/internal/stoplimit"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetselect"
 	"github.com/knapweedpoint/knapweedpoint/internal/workers"
@@ -50,7 +50,7 @@
 		if ctx.Err() != nil {
 			timedOut := b.runs[0].timedOut()
 			b.Abandon()
-			if grace.AnswerDue(ctx) {
+			if stoplimit.Reached(ctx) {
 				return timedOut, b.runs[0].trace
 			}
 			return Lost{Reason: ReasonCallerGone}, b.runs[0].trace
--- a/internal/grace/period_test.go
+++ b/internal/grace/period_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/grace"
+	"github.com/knapweedpoint/knapweedpoint/internal/stoplimit"
 )
 
 const length = 6 * time.Second
@@ -49,9 +50,11 @@
 func TestTimesOfAStopAreInOrder(t *testing.T) {
 	var p grace.Period
 	start := time.Now()
-	require.False(t, p.Begun())
+	_, ok := p.Admit(start.Add(length), start.Add(2*length))
+	require.True(t, ok)
 	p.Begin(start, length)
-	require.True(t, p.Begun())
+	_, ok = p.Admit(start.Add(length), start.Add(2*length))
+	require.False(t, ok)
 	p.Begin(start.Add(time.Second), 2*length)
 	require.Equal(t, 3720*time.Millisecond, p.CloseAt().Sub(start), "a second signal does not prolong the period")
 	require.True(t, p.CloseAt().Before(p.AbandonAt()))
@@ -90,12 +93,12 @@
 				time.Sleep(time.Until(start.Add(c.boundAt)))
 				ctx, release := p.Bind(caller)
 				defer release()
-				require.False(t, grace.AnswerDue(t.Context()))
+				require.False(t, stoplimit.Reached(t.Context()))
 				<-ctx.Done()
 				require.Equal(t, c.doneAt, time.Since(start))
-				require.Equal(t, c.due, grace.AnswerDue(ctx))
+				require.Equal(t, c.due, stoplimit.Reached(ctx))
 				time.Sleep(time.Second)
-				require.Equal(t, c.due, grace.AnswerDue(ctx), "the cause stays")
+				require.Equal(t, c.due, stoplimit.Reached(ctx), "the cause stays")
 			})
 		})
 	}
@@ -110,6 +113,6 @@
 		require.ErrorIs(t, ctx.Err(), context.Canceled)
 		p.Begin(time.Now(), length)
 		time.Sleep(length)
-		require.False(t, grace.AnswerDue(ctx))
+		require.False(t, stoplimit.Reached(ctx))
 	})
 }
--- a/internal/gracefulhttp/conn.go
+++ b/internal/gracefulhttp/conn.go
@@ -29,7 +29,8 @@
 	begun, active bool
 	// closing is set once the connection is to be closed unless a request begins. lingering is set until its last read.
 	closing, lingering bool
-	// muted is set once the connection has been answered here; the server's own answer is then dropped.
+	// aborted is set once reads fail, muted once the connection has been answered here: the server's own answer is then
+	// dropped.
 	aborted, muted bool
 	// deadline is the read deadline that the server has set; lingerUntil bounds it while the connection is closing.
 	deadline, lingerUntil time.Time
@@ -112,13 +113,10 @@
 	c.active = true
 }
 
-func (c *conn) becomeIdle(stopping bool) {
+func (c *conn) becomeIdle() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.begun, c.active = false, false
-	c.mu.Unlock()
-	if stopping {
-		c.stop()
-	}
 }
 
 // stop closes the connection unless a request begins within requestLinger.
--- a/internal/gracefulhttp/tracker.go
+++ b/internal/gracefulhttp/tracker.go
@@ -51,7 +51,10 @@
 		t.forget(x)
 	case http.StateIdle:
 		t.setState(x, state)
-		x.becomeIdle(t.isStopping())
+		x.becomeIdle()
+		if t.isStopping() {
+			x.stop()
+		}
 	case http.StateActive:
 		t.setState(x, state)
 		x.becomeActive()
--- a/internal/scatter/collection.go
+++ b/internal/scatter/collection.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
-	"github.com/knapweedpoint/knapweedpoint/internal/grace"
+	"github.com/knapweedpoint/knapweedpoint/internal/stoplimit"
 	"github.com/knapweedpoint/knapweedpoint/internal/topk"
 )
 
@@ -39,7 +39,7 @@
 		}
 		switch {
 		case len(results) > 0:
-		case grace.AnswerDue(ctx):
+		case stoplimit.Reached(ctx):
 			return c.endEarly()
 		case ctx.Err() != nil:
 			return Failed{Reason: forward.ReasonCallerGone}
--- a/internal/stoplimit/limit.go
+++ b/internal/stoplimit/limit.go
@@ -2,17 +2,24 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 )
 
+var errReached = errors.New("the daemon is about to exit")
+
+// Reached reports whether a context of [Limit.Context] is done because all requests are to be answered, and not because
+// the caller is gone.
+func Reached(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errReached) }
+
 // Limit is the time by which a stopping daemon answers every request; its zero value bounds nothing.
 type Limit struct {
 	mu          sync.Mutex
 	acceptUntil time.Time
 	answerBy    time.Time
 	base        context.Context
-	reach       context.CancelFunc
+	reach       context.CancelCauseFunc
 }
 
 // Set starts the stop: until acceptUntil every request is accepted, and at answerBy all are answered. Only the first call
@@ -25,7 +32,7 @@
 	}
 	l.acceptUntil, l.answerBy = acceptUntil, answerBy
 	l.init()
-	time.AfterFunc(time.Until(answerBy), l.reach)
+	time.AfterFunc(time.Until(answerBy), func() { l.reach(errReached) })
 }
 
 // Accepts reports whether a request may start now whose caller waits for the given time.
@@ -63,18 +70,22 @@
 	}
 }
 
-// Context returns a copy of the context that also ends when all requests are to be answered.
+// Context returns a copy of the context that also ends when all requests are to be answered, as [Reached] tells. The
+// returned function releases it.
 func (l *Limit) Context(parent context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(parent)
+	ctx, cancel := context.WithCancelCause(parent)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.init()
-	stop := context.AfterFunc(l.base, cancel)
-	return ctx, func() { stop(); cancel() }
+	stop := context.AfterFunc(l.base, func() { cancel(errReached) })
+	return ctx, func() {
+		stop()
+		cancel(context.Canceled)
+	}
 }
 
 func (l *Limit) init() {
 	if l.base == nil {
-		l.base, l.reach = context.WithCancel(context.Background())
+		l.base, l.reach = context.WithCancelCause(context.Background())
 	}
 }
