--- a/internal/faketarget/options.go
+++ b/internal/faketarget/options.go
@@ -94,6 +94,8 @@
 	MisreportLoad bool `json:"mislead,omitempty"`
 	// Truncate clears the end mark of every result.
 	Truncate bool `json:"truncate,omitempty"`
+	// CutHead, if above 0, ends the connection after that many bytes of the head of each reply to a batch that has run.
+	CutHead int `json:"cutHead,omitempty"`
 	// Duplicate returns every result twice.
 	Duplicate bool `json:"duplicate,omitempty"`
 	// Reorder returns the results in reverse order.
--- a/internal/faketarget/server.go
+++ b/internal/faketarget/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -77,11 +78,24 @@
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		_ = json.NewEncoder(w).Encode(reply)
+	case s.Target.Faults().CutHead > 0:
+		cutHead(w, s.Target.Faults().CutHead)
 	default:
 		writeJSON(w, reply)
 	}
 }
 
+// cutHead sends the first n bytes of the head of a reply and closes the connection.
+func cutHead(w http.ResponseWriter, n int) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 128\r\n\r\n"
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(c, head[:min(n, len(head)-1)])
+	_ = c.Close()
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
@@ -181,6 +195,8 @@
 		return nil, target.Lost.Wrap(err, "connection lost")
 	case err != nil:
 		return nil, target.TimedOut.Wrap(err, "no reply in time")
+	case reply.Refusal == "" && t.Faults().CutHead > 0:
+		return nil, target.Lost.New("connection lost within the head of the reply")
 	}
 	data, err := json.Marshal(reply)
 	if err != nil {
--- a/internal/promise/fault_test.go
+++ b/internal/promise/fault_test.go
@@ -176,6 +176,7 @@
 			crashAndRestart(t)
 		}, 0.97, false},
 		{"replies truncated", targetFault(faketarget.Faults{Truncate: true}), 0.97, false},
+		{"replies cut within their head", targetFault(faketarget.Faults{CutHead: 12}), 0.97, false},
 		{"replies duplicated", targetFault(faketarget.Faults{Duplicate: true}), 0.97, false},
 		{"replies out of order", targetFault(faketarget.Faults{Reorder: true}), 0.97, false},
 		{"replies of the wrong snapshot", targetFault(faketarget.Faults{WrongSnapshot: "s0"}), 0.97, false},
--- a/pkg/target/contract_test.go
+++ b/pkg/target/contract_test.go
@@ -49,6 +49,9 @@
 		{name: "out of order", faults: faketarget.Faults{Reorder: true}, batch: batch(read(1), read(2)), status: []string{"done", "done"}},
 		{name: "wrong snapshot", faults: faketarget.Faults{WrongSnapshot: "s0"}, batch: batch(read(1)), status: []string{"unknown"}, reason: "snapshotMismatch"},
 		{name: "frozen", faults: faketarget.Faults{Frozen: true}, batch: batch(read(1)), failure: target.TimedOut},
+		{name: "cut within the status line", faults: faketarget.Faults{CutHead: 12}, batch: batch(read(1)), failure: target.Lost},
+		{name: "cut within the length", faults: faketarget.Faults{CutHead: 67}, batch: batch(read(1)), failure: target.Lost},
+		{name: "cut within the last line end", faults: faketarget.Faults{CutHead: 1 << 10}, batch: batch(read(1)), failure: target.Lost},
 		{name: "crash", faults: faketarget.Faults{CrashOn: `"n":1`}, batch: batch(read(1)), failure: target.Lost},
 	}
 	for _, c := range cases {
