--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -29,7 +29,7 @@
 	defer cancel()
 	events.ListenerClosed.Log(d.options.Log, d.unfinished()...)
 	if err := d.callers.Shutdown(ctx, period.AbandonAt()); err != nil {
-		events.DrainOverdue.Log(d.options.Log, append(d.unfinished(), zap.Error(err))...)
+		events.DrainOverdue.Log(d.options.Log, zap.Array("inFlight", &d.dispatcher.InFlight), zap.Error(err))
 	}
 	d.endOthers(period.AbandonAt())
 }
