Leave out targets that are leaving or have asked for a hold

What callers saw: their requests went on to reach targets that had announced their departure, until these exited under them. While a target refused with Retry-After, most requests were refused with targetsFull although another target was free.

Cause: the daemon read neither Server-Leaving nor the Retry-After of a refusal. A target that refuses quickly looked like the fastest one and was avoided for 15 ms only. Each refused request needs the retry budget for its second send; once that was used up, the request failed.

Change: internal/targetnotice records both by incarnation, and sendgate asks it when a target is picked and again when the request is sent. Results reach it before their request goes on, also those of sends that were overtaken. After a hold one request probes the target. A request for whose service all targets hold off is refused at once with the time of the first end, a search with the time until enough shards have a target. A target that became ineligible between the two checks no longer ends the request: another one is picked. What the store calls draining is kept, too, if an outdated entry calls it ready again.

Why it works: every kind of send passes the gate, and the first answer closes it.

--- a/internal/aggregatorclient/client.go
+++ b/internal/aggregatorclient/client.go
@@ -81,6 +81,10 @@
 // Reachable reports whether any target of the service may receive work now.
 func (c *Client) Reachable(service string) bool { return c.Direct.Reachable(service) }
 
+// HoldWait returns how long it takes until the first of a service's targets that have asked for a hold may receive
+// work, as far as this daemon knows; false when there is none.
+func (c *Client) HoldWait(service string) (time.Duration, bool) { return c.Direct.HoldWait(service) }
+
 // HandleReply passes the reply of an aggregator to the search that it belongs to.
 func (c *Client) HandleReply(aggregator string, r *gossippb.PartsReply) {
 	c.mu.Lock()
--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -32,6 +32,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/stallhint"
 	"github.com/knapweedpoint/knapweedpoint/internal/storesync"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetlimit"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetnotice"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetselect"
 )
 
@@ -178,6 +179,7 @@
 		Workers:        &d.sends,
 		OnSend:         func(t inventory.Target, additional bool) { d.limits.CountSend(t.ID, additional) },
 		OnResult:       d.observeResult,
+		OnNotice:       func(t inventory.Target, o targetnotice.Observation) { d.logNotice(t, answerSource, o) },
 		OnUnresponsive: d.sendStallHint,
 	}, nil
 }
--- a/internal/entry/changes.go
+++ b/internal/entry/changes.go
@@ -30,6 +30,7 @@
 	// is read within the drain bound.
 	coldUntil := time.Now().Add(2*r.Heartbeat.Std() + r.DrainBound.Std())
 	d.forwarder.Gate.SetZonesTakenOut(after.OperatorState.ZonesOut, coldUntil)
+	d.markLeaving(after.Inventory, time.Now())
 	d.logTargets(before.Inventory, after.Inventory)
 }
 
--- a/internal/entry/housekeeper.go
+++ b/internal/entry/housekeeper.go
@@ -158,7 +158,7 @@
 	}
 	d.options.Pool.Sweep(now, known)
 	h.selector.Retain(known)
-	h.gate.Retain(known)
+	h.gate.Retain(inv.Target, now)
 	d.sweepLimits(known)
 	d.logLimitedSends()
 	if n := d.options.DroppedLines(); n > 0 {
@@ -168,4 +168,8 @@
 	d.options.Scope.Gauge("members").Update(float64(h.memberCount))
 	d.options.Scope.Gauge("configurationVersion").Update(float64(d.State().OperatorState.Version()))
 	d.options.Scope.Gauge("targets").Update(float64(inv.Len()))
+	leaving, holding := h.gate.LeftOut(inv.All(), now)
+	for reason, n := range map[string]int{"leaving": leaving, "holdsOff": holding} {
+		d.options.Scope.Tagged(map[string]string{"reason": reason}).Gauge("targetsLeftOut").Update(float64(n))
+	}
 }
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// answerSource is the source of a rate limit that this daemon received from the target itself.
+	// answerSource is the source of a rate limit or notice that this daemon received from the target itself.
 	answerSource = "answer"
 	// limitsPerRound is the number of rate limits in the datagrams of one gossip round, at about 40 bytes each.
 	limitsPerRound = 16
--- a/internal/events/event.go
+++ b/internal/events/event.go
@@ -73,6 +73,10 @@
 	DatagramFailed   = Event{830, "datagramFailed", Warn}
 	DatagramOdd      = Event{831, "datagramOdd", Warn}
 	MembersChanged   = Event{832, "membersChanged", Info}
+	TargetLeaving    = Event{833, "targetLeaving", Info}
+	TargetHoldsOff   = Event{834, "targetHoldsOff", Info}
+	TargetUsedAgain  = Event{835, "targetUsedAgain", Info}
+	HoldUnreadable   = Event{836, "holdUnreadable", Warn}
 	ClockSuspended   = Event{840, "clockSuspended", Warn}
 	SettingsReloaded = Event{850, "settingsReloaded", Info}
 	SettingsRefused  = Event{851, "settingsRefused", Error}
@@ -91,7 +95,7 @@
 		RequestSuspect, RequestRefused, BookingUnknown, ListenerFailed,
 		RequestEnded, PartsEnded, HolderSilent, StoreLost, StoreRegained, StoreRead, CopyTaken, CopyFailed, EntryForeign, OrdersTaken,
 		TargetPublished, TargetWithdrawn, TargetDown, RequestCrashes, AnswerOverlong, TargetLimited, TargetUnlimited, LimitUnreadable, LimitedSends,
-		DatagramFailed, DatagramOdd, MembersChanged, ClockSuspended, SettingsReloaded, SettingsRefused,
+		DatagramFailed, DatagramOdd, MembersChanged, TargetLeaving, TargetHoldsOff, TargetUsedAgain, HoldUnreadable, ClockSuspended, SettingsReloaded, SettingsRefused,
 		LogLinesDropped, InterfaceFailed, WorkPanicked,
 	}
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
 	"github.com/knapweedpoint/knapweedpoint/internal/sendgate"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetnotice"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetselect"
 	"github.com/knapweedpoint/knapweedpoint/internal/workers"
 )
@@ -33,6 +34,8 @@
 	OnSend func(t inventory.Target, additional bool)
 	// OnResult is called with the result of each send that started at the given time. It is optional.
 	OnResult func(r targetcall.Request, t inventory.Target, result targetcall.Result, startedAt time.Time)
+	// OnNotice is called with what an answer changes about whether its target may be sent to. It is optional.
+	OnNotice func(t inventory.Target, o targetnotice.Observation)
 	// OnUnresponsive is called with a target that may be unresponsive because its answer takes much longer than the
 	// hedge delay. It is optional.
 	OnUnresponsive func(t inventory.Target)
@@ -72,6 +75,12 @@
 	})
 }
 
+// HoldWait returns how long it takes until the first of a service's targets that have asked for a hold may be sent to;
+// false when there is none.
+func (f *Forwarder) HoldWait(service string) (time.Duration, bool) {
+	return f.Gate.HoldWait(f.Inventory().ByService(service), time.Now())
+}
+
 // Reachable reports whether any target of the service may receive work now.
 func (f *Forwarder) Reachable(service string) bool {
 	now := time.Now()
--- a/internal/forward/job.go
+++ b/internal/forward/job.go
@@ -78,6 +78,7 @@
 	ReasonConnectionBroken = "connectionBroken"
 	ReasonRetryBudget      = "retryBudget"
 	ReasonTargetsLimited   = "targetsLimited"
+	ReasonTargetsHoldOff   = "targetsHoldOff"
 )
 
 // Trace records the sends of a job for the log.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -14,6 +14,8 @@
 const (
 	// maxSends bounds the sends of one job, including refused ones.
 	maxSends = 6
+	// maxPicks bounds how often another target is picked because the picked one became ineligible meanwhile.
+	maxPicks = 8
 	// lingerTimeout is how long a send that was overtaken by a hedge may continue so that its connection stays
 	// usable. It is longer than a pause of 250 ms at a target and the queue that builds up during it.
 	lingerTimeout = 400 * time.Millisecond
@@ -121,18 +123,20 @@
 	if allowTried {
 		r.permits.denied = nil
 	}
-	selection, ok := r.pick(allowTried, now)
-	if !ok {
-		return false
-	}
-	if r.batch.forwarder.Permits.Required(selection.Target) {
-		return r.requestPermit(selection.Target, false, now)
-	}
-	if !r.batch.forwarder.Gate.Admit(selection.Target, now) {
-		return false
+	for range maxPicks {
+		selection, ok := r.pick(allowTried, now)
+		if !ok {
+			return false
+		}
+		if r.batch.forwarder.Permits.Required(selection.Target) {
+			return r.requestPermit(selection.Target, false, now)
+		}
+		if r.batch.forwarder.Gate.Admit(selection.Target, now) {
+			r.send(selection.Target, now)
+			return true
+		}
 	}
-	r.send(selection.Target, now)
-	return true
+	return false
 }
 
 // mayResend reports whether another send is allowed. Job.MayResend decides once an earlier send may have run.
@@ -170,6 +174,10 @@
 	f.Workers.Go(func() {
 		result := f.Sender.Send(ctx, call)
 		cancelled := ctx.Err() != nil
+		notice := f.Gate.Observe(t, result, now, time.Now())
+		if f.OnNotice != nil {
+			f.OnNotice(t, notice)
+		}
 		fl.pending.End(result, cancelled, time.Now())
 		if f.OnResult != nil && !cancelled {
 			f.OnResult(call.Request, t, result, now)
@@ -235,7 +243,7 @@
 	if r.launch(false, now) {
 		return nil
 	}
-	if r.lastFailure == nil && r.sends > 0 && r.sends < maxSends && r.backOff(now) {
+	if r.lastFailure == nil && r.sends > 0 && r.sends < maxSends && !r.allHoldOff(now) && r.backOff(now) {
 		return nil
 	}
 	return r.failure()
@@ -313,13 +321,29 @@
 	if r.lastFailure != nil {
 		return r.lastFailure
 	}
-	if r.permits.wasDenied {
-		return NotRun{Reason: ReasonTargetsLimited, RetryAfter: max(r.permits.retryAfter, minBackoff)}
-	}
-	if r.sends == 0 {
-		return NotRun{Reason: ReasonNoTarget, RetryAfter: retryAfterNoTarget}
-	}
-	return NotRun{Reason: ReasonTargetsFull, RetryAfter: retryAfterFull}
+	out := NotRun{Reason: ReasonTargetsFull, RetryAfter: retryAfterFull}
+	now := time.Now()
+	wait, holding := r.batch.forwarder.HoldWait(r.job.Service)
+	switch {
+	case r.permits.wasDenied:
+		out = NotRun{Reason: ReasonTargetsLimited, RetryAfter: r.permits.retryAfter}
+	case r.allHoldOff(now):
+		return NotRun{Reason: ReasonTargetsHoldOff, RetryAfter: max(wait, minBackoff)}
+	case r.sends == 0:
+		out = NotRun{Reason: ReasonNoTarget, RetryAfter: retryAfterNoTarget}
+	}
+	if holding {
+		out.RetryAfter = min(out.RetryAfter, wait)
+	}
+	out.RetryAfter = max(out.RetryAfter, minBackoff)
+	return out
+}
+
+// allHoldOff reports whether no target of the service may receive work now and some have asked for a hold.
+func (r *run) allHoldOff(now time.Time) bool {
+	f := r.batch.forwarder
+	_, holding := f.HoldWait(r.job.Service)
+	return holding && len(f.Gate.Eligible(f.Inventory().ByService(r.job.Service), now)) == 0
 }
 
 func (r *run) timedOut() Outcome {
--- a/internal/scatter/direct.go
+++ b/internal/scatter/direct.go
@@ -1,6 +1,10 @@
 package scatter
 
-import "github.com/knapweedpoint/knapweedpoint/internal/forward"
+import (
+	"time"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/forward"
+)
 
 // Direct is a Runner that queries the targets from this daemon.
 type Direct struct{ Forwarder *forward.Forwarder }
@@ -10,3 +14,7 @@
 
 // Reachable reports whether any target of the service may receive work now.
 func (d Direct) Reachable(service string) bool { return d.Forwarder.Reachable(service) }
+
+// HoldWait returns how long it takes until the first of a service's targets that have asked for a hold may receive
+// work; false when there is none.
+func (d Direct) HoldWait(service string) (time.Duration, bool) { return d.Forwarder.HoldWait(service) }
--- a/internal/scatter/gatherer.go
+++ b/internal/scatter/gatherer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -28,6 +29,9 @@
 	Start(s Search, jobs []forward.Job) Batch
 	// Reachable reports whether any target of the service may receive work now.
 	Reachable(service string) bool
+	// HoldWait returns how long it takes until the first of a service's targets that have asked for a hold may receive
+	// work; false when there is none.
+	HoldWait(service string) (time.Duration, bool)
 }
 
 // Batch is the set of jobs of one search in progress. forward.Batch implements it.
@@ -73,8 +77,8 @@
 	shards := s.Scatter.Shards
 	need := RequiredShards(len(shards), s.Scatter.MinCoverage)
 	unreachable := lo.Filter(shards, func(shard string, _ int) bool { return !g.Runner.Reachable(shard) })
-	if len(shards)-len(unreachable) < need {
-		return NotRun{Reason: forward.ReasonNoTarget, RetryAfter: retryAfterNoTargets}, Trace{}
+	if lacking := need - (len(shards) - len(unreachable)); lacking > 0 {
+		return g.refuse(unreachable, lacking), Trace{}
 	}
 	jobs := lo.Map(shards, func(shard string, _ int) forward.Job {
 		return forward.Job{Service: shard, Route: s.Route, Request: s.Request, Deadline: s.Deadline}
@@ -97,6 +101,23 @@
 	return out, trace
 }
 
+// refuse returns the refusal of a search that lacks some of the unreachable shards: it can run when that many of them
+// have a target again.
+func (g *Gatherer) refuse(unreachable []string, lacking int) NotRun {
+	out := NotRun{Reason: forward.ReasonNoTarget}
+	waits := lo.Map(unreachable, func(shard string, _ int) time.Duration {
+		wait, holding := g.Runner.HoldWait(shard)
+		if !holding {
+			return retryAfterNoTargets
+		}
+		out.Reason = forward.ReasonTargetsHoldOff
+		return wait
+	})
+	slices.Sort(waits)
+	out.RetryAfter = waits[lacking-1]
+	return out
+}
+
 // RequiredShards returns how many of n shards make up at least the given share.
 func RequiredShards(n int, share float64) int {
 	// Without this term a rounding error would make 0.9 of 20 come out as 19.
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -29,8 +29,9 @@
 )
 
 // run searches over twenty shards with one target each. anomalies holds the behaviour of unusual targets by the index
-// of their shard; the first absent shards have no target.
-func run(t *testing.T, anomalies map[int]scriptedtarget.Behaviour, absent int) (scatter.Outcome, scatter.Trace, time.Duration, []scriptedtarget.Call) {
+// of their shard; the first absent shards have no target. notices holds answers that came before the search, by the
+// index of the shard.
+func run(t *testing.T, anomalies map[int]scriptedtarget.Behaviour, absent int, notices map[int]targetcall.Result) (scatter.Outcome, scatter.Trace, time.Duration, []scriptedtarget.Call) {
 	t.Helper()
 	shards := lo.Times(shardCount, func(i int) string { return fmt.Sprintf("s%02d", i) })
 	var targets []inventory.Target
@@ -46,6 +47,9 @@
 		Sender: sender, Selector: &targetselect.Selector{}, Gate: &sendgate.Gate{}, Budget: &retrybudget.Budget{},
 		Inventory: func() inventory.Inventory { return inv }, Workers: pool,
 	}
+	for i, result := range notices {
+		f.Gate.Observe(targets[i-absent], result, time.Now(), time.Now())
+	}
 	g := scatter.Gatherer{Runner: scatter.Direct{Forwarder: f}, Margin: margin}
 	d := routetable.Scatter{Shards: shards, TopK: 5, MinCoverage: 0.89}
 	start := time.Now()
@@ -84,7 +88,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				out, trace, elapsed, calls := run(t, c.anomalies, c.absent)
+				out, trace, elapsed, calls := run(t, c.anomalies, c.absent, nil)
 				require.Equal(t, c.want, out.Label())
 				require.Equal(t, c.elapsed, elapsed)
 				if m, ok := out.(scatter.Merged); ok {
@@ -101,6 +105,47 @@
 	}
 }
 
+// Guards against searches that wait for shards whose only target is leaving or has asked for a hold, and against
+// refusals with a time at which too few shards have a target.
+func TestSearchByTheNoticesOfTargets(t *testing.T) {
+	leaving := targetcall.Answered{Status: 200, Signature: "s", Leaving: true}
+	hold := func(seconds float64) targetcall.Result {
+		return targetcall.Refused{RetryAfter: targetcall.RetryDelay{Seconds: seconds}}
+	}
+	for _, c := range []struct {
+		name    string
+		notices map[int]targetcall.Result
+		want    string
+		missing int
+		refused scatter.NotRun
+	}{
+		{"one leaves", map[int]targetcall.Result{1: leaving}, "partial", 1, scatter.NotRun{}},
+		{"two hold", map[int]targetcall.Result{1: hold(3), 2: hold(60)}, "partial", 2, scatter.NotRun{}},
+		{"three leave", map[int]targetcall.Result{1: leaving, 2: leaving, 3: leaving}, "notRun", 0, scatter.NotRun{Reason: forward.ReasonNoTarget, RetryAfter: 500 * time.Millisecond}},
+		{"three hold", map[int]targetcall.Result{1: hold(3), 2: hold(2), 3: hold(60)}, "notRun", 0, scatter.NotRun{Reason: forward.ReasonTargetsHoldOff, RetryAfter: 2 * time.Second}},
+		{"four hold", map[int]targetcall.Result{1: hold(3), 2: hold(2), 3: hold(60), 4: hold(4)}, "notRun", 0, scatter.NotRun{Reason: forward.ReasonTargetsHoldOff, RetryAfter: 3 * time.Second}},
+		{"two leave, one holds off", map[int]targetcall.Result{1: leaving, 2: leaving, 3: hold(0.25)}, "notRun", 0, scatter.NotRun{Reason: forward.ReasonTargetsHoldOff, RetryAfter: 250 * time.Millisecond}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				out, _, elapsed, calls := run(t, nil, 0, c.notices)
+				require.Equal(t, c.want, out.Label())
+				for i := range c.notices {
+					require.NotContains(t, lo.Map(calls, func(call scriptedtarget.Call, _ int) string { return call.Target }), fmt.Sprintf("t-s%02d", i))
+				}
+				if m, ok := out.(scatter.Merged); ok {
+					require.Equal(t, c.missing, m.Missing)
+					require.Equal(t, 20*time.Millisecond, elapsed, "no wait for the missing parts")
+					return
+				}
+				require.Equal(t, c.refused, out)
+				require.Zero(t, elapsed, "refused at once")
+				require.Empty(t, calls)
+			})
+		})
+	}
+}
+
 func TestRequiredShards(t *testing.T) {
 	for _, c := range []struct {
 		n     int
--- a/internal/sendgate/gate.go
+++ b/internal/sendgate/gate.go
@@ -9,6 +9,8 @@
 
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/rendezvous"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetnotice"
 )
 
 const (
@@ -40,6 +42,8 @@
 	zones   map[string]zone
 	// sent holds the times of this daemon's latest sends to each cold target.
 	sent map[string][]time.Time
+
+	notices targetnotice.Register
 }
 
 // zone is the state of one availability zone: taken out, or back and treated as cold until a given time.
@@ -87,10 +91,10 @@
 func (g *Gate) Eligible(targets []inventory.Target, now time.Time) []inventory.Target {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if lo.EveryBy(targets, func(t inventory.Target) bool { return g.accepting(t) && !g.bounded(t, now) }) {
+	if lo.EveryBy(targets, func(t inventory.Target) bool { return g.accepting(t, now) && !g.bounded(t, now) }) {
 		return targets
 	}
-	accepting := lo.Filter(targets, func(t inventory.Target, _ int) bool { return g.accepting(t) })
+	accepting := lo.Filter(targets, func(t inventory.Target, _ int) bool { return g.accepting(t, now) })
 	bounded, unbounded := lo.FilterReject(accepting, func(t inventory.Target, _ int) bool { return g.bounded(t, now) })
 	if len(unbounded) > 0 {
 		return unbounded
@@ -99,19 +103,17 @@
 }
 
 // Admit repeats the check of Eligible for one target at the moment of the send. It counts the send against the
-// allowance of a cold target.
+// allowance of a cold target, and as the probe of a target whose hold has ended.
 func (g *Gate) Admit(t inventory.Target, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.accepting(t) {
+	bounded := g.bounded(t, now)
+	if !g.accepting(t, now) || bounded && !g.hasAllowance(t, now) || !g.notices.Admit(t, now) {
 		return false
 	}
-	if !g.bounded(t, now) {
+	if !bounded {
 		return true
 	}
-	if !g.hasAllowance(t, now) {
-		return false
-	}
 	if g.sent == nil {
 		g.sent = map[string][]time.Time{}
 	}
@@ -119,19 +121,62 @@
 	return true
 }
 
-// Retain removes the send times of targets that are not known any more.
-func (g *Gate) Retain(known func(target string) bool) {
+// Observe records the notices in the result of a send that started at the given time.
+func (g *Gate) Observe(t inventory.Target, result targetcall.Result, startedAt, now time.Time) targetnotice.Observation {
+	return g.notices.Observe(t, result, startedAt, now)
+}
+
+// MarkLeaving records that a target is leaving. It gets nothing any more, even if an outdated entry of it says that it
+// is ready.
+func (g *Gate) MarkLeaving(t inventory.Target, now time.Time) targetnotice.Observation {
+	return g.notices.MarkLeaving(t, now)
+}
+
+// HoldWait returns how long it takes until the first of the targets that have asked for a hold may be sent to; false
+// when there is none.
+func (g *Gate) HoldWait(targets []inventory.Target, now time.Time) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	waits := lo.FilterMap(targets, func(t inventory.Target, _ int) (time.Duration, bool) {
+		x, holding := g.notices.Standing(t, now).(targetnotice.HoldingOff)
+		return x.Until.Sub(now), holding && g.inService(t)
+	})
+	return lo.Min(waits), len(waits) > 0
+}
+
+// LeftOut returns how many of the targets are leaving and how many have asked for a hold.
+func (g *Gate) LeftOut(targets []inventory.Target, now time.Time) (leaving, holding int) {
+	for _, t := range targets {
+		switch g.notices.Standing(t, now).(type) {
+		case targetnotice.Leaving:
+			leaving++
+		case targetnotice.HoldingOff:
+			holding++
+		}
+	}
+	return leaving, holding
+}
+
+// Retain removes what is recorded of targets that are gone.
+func (g *Gate) Retain(published func(target string) (inventory.Target, bool), now time.Time) {
+	g.notices.Retain(published, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id := range g.sent {
-		if !known(id) {
+		if _, ok := published(id); !ok {
 			delete(g.sent, id)
 		}
 	}
 }
 
-// accepting reports whether the target is not draining and its availability zone is not taken out.
-func (g *Gate) accepting(t inventory.Target) bool {
+// accepting reports whether the target is in service, is not leaving and has not asked for a hold.
+func (g *Gate) accepting(t inventory.Target, now time.Time) bool {
+	_, free := g.notices.Standing(t, now).(targetnotice.Free)
+	return free && g.inService(t)
+}
+
+// inService reports whether the target is not draining and its availability zone is not taken out.
+func (g *Gate) inService(t inventory.Target) bool {
 	return !t.Draining && !g.zones[t.AvailabilityZone].out
 }
 
--- a/internal/targetcall/call.go
+++ b/internal/targetcall/call.go
@@ -47,6 +47,10 @@
 	Signature string
 	Load      Load
 	RateLimit RateLimit
+	// Leaving is set when the target says that it is shutting down.
+	Leaving bool
+	// RetryAfter is what a refusal with status 503 states about further calls.
+	RetryAfter RetryAfter
 }
 
 // Refused means that the target did not run the call and will not run it later.
@@ -55,6 +59,10 @@
 	OtherIncarnation bool
 	Load             Load
 	RateLimit        RateLimit
+	// Leaving is set when the target says that it is shutting down.
+	Leaving bool
+	// RetryAfter is what a refusal with status 503 states about further calls.
+	RetryAfter RetryAfter
 }
 
 // NotSent means that no byte of the call reached the target.
--- /dev/null
+++ b/internal/targetnotice/observation.go
@@ -0,0 +1,32 @@
+package targetnotice
+
+import "time"
+
+// Observation is the effect of an answer on a register: Unchanged, LeavingBegun, HoldBegun, HoldExtended, HoldEnded or
+// Rejected.
+type Observation interface{ observation() }
+
+// Unchanged means that the answer changes nothing.
+type Unchanged struct{}
+
+// LeavingBegun means that the target is now known to be leaving.
+type LeavingBegun struct{}
+
+// HoldBegun means that the target has asked for a hold and had asked for none.
+type HoldBegun struct{ Until time.Time }
+
+// HoldExtended means that a hold ends later than was known, or that it begins anew.
+type HoldExtended struct{ Until time.Time }
+
+// HoldEnded means that the target has answered again after its hold.
+type HoldEnded struct{}
+
+// Rejected means that the hold that the target asked for is unreadable and was ignored.
+type Rejected struct{ Text string }
+
+func (Unchanged) observation()    {}
+func (LeavingBegun) observation() {}
+func (HoldBegun) observation()    {}
+func (HoldExtended) observation() {}
+func (HoldEnded) observation()    {}
+func (Rejected) observation()     {}
