Serve: a clean stop is not reported as overdue

The log of a daemon that had answered every request could say drainOverdue, "use of closed network connection".

Cause: the tracker closes the listener, and http.Server.Close may close it once more before Serve has returned. Its error was taken for a cut.

Evidence: seen once, in TestStopAnswersRequestsThatNeverArriveWhole beside load. TestServerWithoutRequestsStopsCleanly fails without the fix in runs with -race; without -race it passed three times.

Why it works: a listener that is closed already is what stop wants.

--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -46,7 +46,11 @@
 	s.tracker.Stop()
 	abort := time.AfterFunc(time.Until(abortAt), s.tracker.Abort)
 	defer abort.Stop()
-	return errors.Join(s.tracker.Wait(ctx), s.http.Close())
+	err := s.tracker.Wait(ctx)
+	if closeErr := s.http.Close(); !errors.Is(closeErr, net.ErrClosed) {
+		err = errors.Join(err, closeErr)
+	}
+	return err
 }
 
 // tellToClose returns a handler whose answers tell clients to close their connections once the server closes.
