Serve: test that daemons stopping in series lose no request

Callers on raw connections send bookings until all three daemons, which get SIGTERM one second apart, are gone.

--- a/internal/process/stop_test.go
+++ b/internal/process/stop_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -241,3 +242,95 @@
 	require.NotEmpty(t, a.Items)
 	require.Equal(t, 1, f.runs("kept"))
 }
+
+// Guards against requests that are lost, or answered falsely, while callers use their connections until all daemons, which
+// stop one after the other, are gone.
+func TestStopsInSeriesLoseNoRequest(t *testing.T) {
+	const (
+		callersPerDaemon = 8
+		// lossSlack is how long after its last byte a request that crosses the end of its connection may get no answer.
+		lossSlack = 200 * time.Millisecond
+	)
+	f := startStoppingFleet(t)
+	f.setFaults(faketarget.Faults{SlowFactor: 40})
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	outcomes := map[string]string{}
+	for i, d := range f.daemons {
+		for j := range callersPerDaemon {
+			group.Go(func() {
+				for n := 0; ; n++ {
+					raw, err := net.Dial("tcp", d.callers)
+					if err != nil {
+						return
+					}
+					c := &connection{t: t, Conn: raw, reader: bufio.NewReader(raw)}
+					for k := 0; ; k++ {
+						key := fmt.Sprintf("series-%d-%d-%d-%d", i, j, n, k)
+						deadline := []time.Duration{100 * time.Millisecond, time.Second, longDeadline}[k%3]
+						outcome, took, open := c.try(request("booking", "grants", key, deadline))
+						mu.Lock()
+						outcomes[key] = outcome
+						mu.Unlock()
+						if outcome == "" && took > lossSlack {
+							t.Errorf("%s: closed without an answer after %s", key, took)
+						}
+						if !open {
+							break
+						}
+					}
+					_ = raw.Close()
+				}
+			})
+		}
+	}
+	for _, d := range f.daemons {
+		time.Sleep(time.Second)
+		f.signal(d.name, syscall.SIGTERM)
+	}
+	for _, d := range f.daemons {
+		f.exits(d)
+	}
+	group.Wait()
+	runs := map[string]int{}
+	for name := range f.targets {
+		for key, n := range f.record(name).Runs {
+			runs[key] += n
+		}
+	}
+	counts := map[string]int{}
+	for key, outcome := range outcomes {
+		counts[outcome]++
+		switch outcome {
+		case "done":
+			require.Equal(t, 1, runs[key], key)
+		case "unknown":
+			require.LessOrEqual(t, runs[key], 1, key)
+		default:
+			require.Zero(t, runs[key], "%s: %s", key, outcome)
+		}
+	}
+	require.Positive(t, counts["done"])
+	require.Positive(t, counts["notRun"])
+	t.Log(counts)
+}
+
+// try sends a request and returns the outcome in its answer, which is empty if there is none, the time that it took, and
+// whether the connection stays open.
+func (c *connection) try(text string) (string, time.Duration, bool) {
+	began := time.Now()
+	_ = c.SetDeadline(began.Add(waitTimeout))
+	if _, err := io.WriteString(c, text); err != nil {
+		return "", time.Since(began), false
+	}
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return "", time.Since(began), false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var a caller.Answer
+	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
+		return "", time.Since(began), false
+	}
+	return a.Outcome, time.Since(began), !resp.Close
+}
