--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"os"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,6 +22,7 @@
 	d.callers.Drain()
 	period.Begin(time.Now(), length)
 	d.board.SetPhase(blackboard.Draining{})
+	d.aggregator.Drain(period.AbandonAt())
 	d.sync.gossiper.Leave()
 	time.Sleep(time.Until(period.CloseAt()))
 	ctx, cancel := context.WithDeadline(context.Background(), period.ExitAt())
@@ -28,6 +31,7 @@
 	if err := d.callers.Shutdown(ctx, period.AbandonAt()); err != nil {
 		events.DrainOverdue.Log(d.options.Log, append(d.unfinished(), zap.Error(err))...)
 	}
+	d.endCalls(period.AbandonAt())
 	var others errgroup.Group
 	for _, stop := range []func(context.Context) error{d.readiness.Shutdown, d.peers.Shutdown, d.metrics.Shutdown} {
 		others.Go(func() error {
@@ -40,6 +44,32 @@
 	_ = others.Wait()
 }
 
+// endCalls waits for the calls of other daemons until the given time, and then tells them which shards are lost.
+func (d *Daemon) endCalls(until time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	if err := d.aggregator.Shutdown(ctx); err != nil {
+		events.DrainOverdue.Log(d.options.Log, zap.String("calls", "of other daemons"), zap.Error(err))
+	}
+}
+
+// handleFurtherSignals handles the signals that arrive during a stop. A further signal to stop changes nothing, nor does
+// a new grace period.
+func (d *Daemon) handleFurtherSignals(ctx context.Context, signals <-chan os.Signal) {
+	for {
+		select {
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				d.reload("signal")
+				continue
+			}
+			events.SecondSignal.Log(d.options.Log, zap.Stringer("signal", sig))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // unfinished returns the log fields that describe the callers' connections and the requests in flight.
 func (d *Daemon) unfinished() []zap.Field {
 	return []zap.Field{zap.Any("connections", d.callers.Connections()), zap.Array("inFlight", &d.dispatcher.InFlight)}
--- a/internal/gossip/gossiper_test.go
+++ b/internal/gossip/gossiper_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,8 @@
 	mu      sync.Mutex
 	inboxes map[string]chan []byte
 	bytes   int
+	// lost is set while all datagrams are lost.
+	lost bool
 }
 
 // socket is one daemon's end of the network.
@@ -47,6 +50,12 @@
 	return n.bytes
 }
 
+func (n *network) setLost(lost bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lost = lost
+}
+
 func (s *socket) ReadFrom(b []byte) (int, net.Addr, error) {
 	select {
 	case data := <-s.inbox:
@@ -60,6 +69,9 @@
 	s.network.mu.Lock()
 	defer s.network.mu.Unlock()
 	s.network.bytes += len(b)
+	if s.network.lost {
+		return len(b), nil
+	}
 	select {
 	case s.network.inboxes[to.String()] <- append([]byte(nil), b...):
 	default:
@@ -164,6 +176,89 @@
 	})
 }
 
+// Guards against calls and permit requests that are sent to a daemon after its exit by peers that missed its leave: in a
+// fleet of this size, gossip tells some of them only after it.
+func TestLostLeaveIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := &network{inboxes: map[string]chan []byte{}}
+		ctx, cancel := context.WithCancel(context.Background())
+		members := lo.Times(139, func(i int) roster.Member {
+			return roster.Member{Name: fmt.Sprint("vm", i), Address: address(i), Incarnation: 1}
+		})
+		var group errgroup.Group
+		gossipers := lo.Map(members, func(m roster.Member, i int) *gossip.Gossiper {
+			g := &gossip.Gossiper{
+				Roster: roster.New(m), Conn: nw.listen(address(i)), Receiver: discard{},
+				Advertised: func() (uint64, uint64) { return 1, 1 }, Seeds: func() []string { return nil },
+			}
+			g.Roster.Merge(members, time.Now())
+			group.Go(func() error { g.Receive(); return nil })
+			group.Go(func() error { g.Run(ctx); return nil })
+			return g
+		})
+		synctest.Wait()
+		nw.setLost(true)
+		gossipers[0].Leave()
+		nw.setLost(false)
+		time.Sleep(gossip.Interval + time.Millisecond)
+		synctest.Wait()
+		cancel()
+		for _, g := range gossipers {
+			close(g.Conn.(*socket).closed)
+		}
+		_ = group.Wait()
+		for _, g := range gossipers[1:] {
+			require.NotContains(t, g.Roster.AliveNames(time.Now()), "vm0")
+		}
+	})
+}
+
+// recorder is a Receiver that counts the pushes that it receives.
+type recorder struct{ pushes atomic.Int32 }
+
+func (r *recorder) HandleDatagram(_ roster.Member, d *gossippb.Datagram) {
+	if d.GetPush() != nil {
+		r.pushes.Add(1)
+	}
+}
+
+// Guards against daemons that serve their last requests with an old state, or hand work to others that stop as well: they
+// stop in series, and each of them leaves some seconds before it exits.
+func TestLeavingDaemonLearnsWhatHappensUntilItsExit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := &network{inboxes: map[string]chan []byte{}}
+		members := lo.Times(5, func(i int) roster.Member {
+			return roster.Member{Name: fmt.Sprint("vm", i), Address: address(i), Incarnation: 1}
+		})
+		var group errgroup.Group
+		var received recorder
+		gossipers := lo.Map(members, func(m roster.Member, i int) *gossip.Gossiper {
+			g := &gossip.Gossiper{Roster: roster.New(m), Conn: nw.listen(address(i)), Receiver: discard{}}
+			if i == 0 {
+				g.Receiver = &received
+			}
+			g.Roster.Merge(members, time.Now())
+			group.Go(func() error { g.Receive(); return nil })
+			return g
+		})
+		gossipers[0].Leave()
+		synctest.Wait()
+		gossipers[1].Leave()
+		gossipers[2].Broadcast(&gossippb.Datagram{Push: &gossippb.Push{}})
+		gossipers[3].AnnounceSettled()
+		synctest.Wait()
+		for _, g := range gossipers {
+			close(g.Conn.(*socket).closed)
+		}
+		_ = group.Wait()
+		known := gossipers[0].Roster
+		require.EqualValues(t, 1, received.pushes.Load(), "pushes")
+		require.Equal(t, []string{"vm2", "vm3", "vm4"}, known.AliveNames(time.Now()))
+		settled, _ := known.Find("vm3")
+		require.True(t, settled.Settled)
+	})
+}
+
 // A daemon may send 3 KB/s of control traffic in a fleet of 450 daemons. Its gossip traffic must not grow with the
 // fleet.
 func TestGossipIsBoundedByDaemonNotByFleet(t *testing.T) {
