--- a/internal/process/stop_test.go
+++ b/internal/process/stop_test.go
@@ -126,6 +126,28 @@
 	require.Equal(t, 1, f.runs("booked"))
 }
 
+// Guards against requests that are cut without an answer because the process had no processor time while answers were due.
+func TestStopAnswersRequestsAfterAStall(t *testing.T) {
+	f := startStoppingFleet(t)
+	f.setFaults(faketarget.Faults{Frozen: true})
+	d := f.daemons[0]
+	var connections []*connection
+	for i := range 20 {
+		c := f.connect(d)
+		c.write(request("lookup", "jobCards", fmt.Sprint("stalled-", i), longDeadline))
+		connections = append(connections, c)
+	}
+	f.signal(d.name, syscall.SIGTERM)
+	time.Sleep(balancerDelay + drainLimit*3/4 - 300*time.Millisecond)
+	f.signal(d.name, syscall.SIGSTOP)
+	time.Sleep(drainLimit/4 + 500*time.Millisecond)
+	f.signal(d.name, syscall.SIGCONT)
+	for _, c := range connections {
+		require.NotEqual(t, "done", c.read().Outcome)
+	}
+	require.NoError(t, f.processes[d.name].Wait())
+}
+
 // Guards against requests that were accepted late in a stop, passed on to a target and then cut off without an answer.
 func TestStopRefusesRequestsThatCannotEndInTime(t *testing.T) {
 	f := startStoppingFleet(t)
