Stop: a caller whose request is given up with the others has not left

At 0.875 the reads of all connections fail, which also ends the contexts of requests that are still being answered. Whether their own limit came late was not told apart. Now either end counts as the limit once its time has come.

--- a/internal/stoplimit/limit.go
+++ b/internal/stoplimit/limit.go
@@ -7,11 +7,17 @@
 	"time"
 )
 
-var errReached = errors.New("the daemon is about to exit")
+var errReleased = errors.New("released")
 
-// Reached reports whether a context of [Limit.Context] is done because all requests are to be answered, and not because
-// the caller is gone.
-func Reached(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errReached) }
+// limitKey is the key under which a context of [Limit.Context] holds its limit.
+type limitKey struct{}
+
+// Reached reports whether a context of [Limit.Context] that is done, or about to be, ends because all requests are to be
+// answered. A stopping server also ends its requests' contexts then, and either may be noticed first.
+func Reached(ctx context.Context) bool {
+	l, ok := ctx.Value(limitKey{}).(*Limit)
+	return ok && l.IsReached() && !errors.Is(context.Cause(ctx), errReleased)
+}
 
 // Limit is the time by which a stopping daemon answers every request; its zero value bounds nothing.
 type Limit struct {
@@ -19,7 +25,7 @@
 	acceptUntil time.Time
 	answerBy    time.Time
 	base        context.Context
-	reach       context.CancelCauseFunc
+	reach       context.CancelFunc
 }
 
 // Set starts the stop: until acceptUntil every request is accepted, and at answerBy all are answered. Only the first call
@@ -32,7 +38,7 @@
 	}
 	l.acceptUntil, l.answerBy = acceptUntil, answerBy
 	l.init()
-	time.AfterFunc(time.Until(answerBy), func() { l.reach(errReached) })
+	time.AfterFunc(time.Until(answerBy), l.reach)
 }
 
 // Accepts reports whether a request may start now whose caller waits for the given time.
@@ -62,30 +68,27 @@
 
 // IsReached reports whether the time at which all requests are answered has come.
 func (l *Limit) IsReached() bool {
-	select {
-	case <-l.Reached():
-		return true
-	default:
-		return false
-	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.answerBy.IsZero() && !time.Now().Before(l.answerBy)
 }
 
 // Context returns a copy of the context that also ends when all requests are to be answered, as [Reached] tells. The
 // returned function releases it.
 func (l *Limit) Context(parent context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(parent)
+	ctx, cancel := context.WithCancelCause(context.WithValue(parent, limitKey{}, l))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.init()
-	stop := context.AfterFunc(l.base, func() { cancel(errReached) })
+	stop := context.AfterFunc(l.base, func() { cancel(context.DeadlineExceeded) })
 	return ctx, func() {
 		stop()
-		cancel(context.Canceled)
+		cancel(errReleased)
 	}
 }
 
 func (l *Limit) init() {
 	if l.base == nil {
-		l.base, l.reach = context.WithCancelCause(context.Background())
+		l.base, l.reach = context.WithCancel(context.Background())
 	}
 }
--- a/internal/stoplimit/limit_test.go
+++ b/internal/stoplimit/limit_test.go
@@ -72,3 +72,18 @@
 		require.Error(t, late.Err())
 	})
 }
+
+// Guards against a request that a stopping daemon answers as if its caller had left, because the server ends its context
+// before the limit does.
+func TestCallerThatIsCutOffAtTheLimitHasNotLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var l stoplimit.Limit
+		l.Set(time.Now(), time.Now().Add(time.Second))
+		caller, leave := context.WithCancel(t.Context())
+		ctx, release := l.Context(caller)
+		defer release()
+		time.AfterFunc(time.Second, leave)
+		<-ctx.Done()
+		require.True(t, stoplimit.Reached(ctx))
+	})
+}
