Leave out a target whose notice comes while a connection opens

What callers could see: a request that waited up to the dial timeout for its connection was written to a target that had announced its departure, or asked for a hold, in the meantime.

Cause: the gate was asked for the last time before the connection was opened.

Not seen with real processes: it was found by reading the code.

Nothing was written, so the request goes to another target at no charge to the retry budget. The probe after a hold isn't withdrawn by being one.

--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
+	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/retrybudget"
 	"github.com/knapweedpoint/knapweedpoint/internal/scriptedtarget"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
@@ -190,3 +192,57 @@
 		x.close()
 	})
 }
+
+// slowConnection is a sender whose connections take time to open; it sends to the target unless the call is withdrawn.
+type slowConnection struct {
+	*scriptedtarget.Sender
+	delay time.Duration
+}
+
+func (s slowConnection) Send(ctx context.Context, c targetcall.Call) targetcall.Result {
+	time.Sleep(s.delay)
+	if c.Withdrawn() {
+		return targetcall.NotSent{Err: errors.New("withdrawn")}
+	}
+	return s.Sender.Send(ctx, c)
+}
+
+// Guards against a send that was admitted before a notice and leaves after it, because its connection took long to open.
+func TestNoticeWithdrawsASendWithoutConnection(t *testing.T) {
+	for name, notice := range map[string]targetcall.Result{
+		"leaving": targetcall.Answered{Status: 200, Signature: "s", Leaving: true},
+		"hold":    asksForHold(60).Result,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newFixture(always(scriptedtarget.Behaviour{Delay: 5 * time.Millisecond}), "a", "b")
+				x.forwarder.Sender = slowConnection{Sender: x.sender, delay: 20 * time.Millisecond}
+				var chosen string
+				x.forwarder.OnSend = func(t inventory.Target, _ bool) {
+					if chosen == "" {
+						chosen = t.ID
+						time.AfterFunc(10*time.Millisecond, func() { x.notice(t.ID, notice) })
+					}
+				}
+				out, _ := x.forwarder.Run(context.Background(), job(false))
+				require.Equal(t, "done", out.Label())
+				require.Zero(t, x.callsTo(chosen))
+				require.Len(t, x.sender.Calls(), 1)
+				x.close()
+			})
+		})
+	}
+}
+
+// Guards against a probe that is withdrawn because it is one, so that its target stays unused.
+func TestProbeWithASlowConnectionIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newFixture(always(scriptedtarget.Behaviour{Delay: 5 * time.Millisecond}), "a")
+		x.forwarder.Sender = slowConnection{Sender: x.sender, delay: 20 * time.Millisecond}
+		x.notice("a", asksForHold(1).Result)
+		time.Sleep(time.Second)
+		out, _ := x.forwarder.Run(context.Background(), job(false))
+		require.Equal(t, "done", out.Label())
+		x.close()
+	})
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -169,7 +169,10 @@
 	r.tried = append(r.tried, t.ID)
 	r.sends++
 	r.hedgeAt = now.Add(fl.pending.HedgeDelay())
-	call := targetcall.Call{Target: t, Request: r.job.Request, Remaining: r.job.Deadline.Sub(now)}
+	call := targetcall.Call{
+		Target: t, Request: r.job.Request, Remaining: r.job.Deadline.Sub(now),
+		Withdrawn: func() bool { return f.Gate.Withdrawn(t, time.Now()) },
+	}
 	results := r.batch.results
 	f.Workers.Go(func() {
 		result := f.Sender.Send(ctx, call)
--- a/internal/sendgate/gate.go
+++ b/internal/sendgate/gate.go
@@ -132,6 +132,9 @@
 	return g.notices.MarkLeaving(t, now)
 }
 
+// Withdrawn reports whether a notice has arrived since the send to the target was admitted.
+func (g *Gate) Withdrawn(t inventory.Target, now time.Time) bool { return g.notices.Withdrawn(t, now) }
+
 // HoldWait returns how long it takes until the first of the targets that have asked for a hold may be sent to; false
 // when there is none.
 func (g *Gate) HoldWait(targets []inventory.Target, now time.Time) (time.Duration, bool) {
--- a/internal/targetcall/call.go
+++ b/internal/targetcall/call.go
@@ -20,6 +20,9 @@
 	Request Request
 	// Remaining is the time that remains until the caller's deadline.
 	Remaining time.Duration
+	// Withdrawn reports whether the target may not be called any more. It is asked when a connection is available, before
+	// the call is written. It is optional.
+	Withdrawn func() bool
 }
 
 // Request is a caller's request, which is passed on unchanged.
--- a/internal/targetnotice/register.go
+++ b/internal/targetnotice/register.go
@@ -124,6 +124,16 @@
 	return true
 }
 
+// Withdrawn reports whether an admitted send to the target may not take place any more, because it is leaving or holds
+// off.
+func (r *Register) Withdrawn(t inventory.Target, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.records[t.ID], func(rec *record) bool {
+		return rec.covers(t) && (!rec.leavingSince.IsZero() || now.Before(rec.holdUntil))
+	})
+}
+
 // Retain removes the notices of incarnations that are gone. An incarnation without a known start is gone as soon as
 // its entry is, because the next one at its address could not be told apart.
 func (r *Register) Retain(published func(target string) (inventory.Target, bool), now time.Time) {
