Fix: a daemon that is told to stop as it becomes ready stays draining

A daemon of `serve` that got SIGTERM at the moment at which it became ready could count as ready until its exit, so that the load balancer and the other daemons went on sending to it: becomeReady asked whether the daemon drains and then set the phase, and a stop in between was overwritten.

Now the phase is replaced under the lock of its cell, and never from Draining.

--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -47,15 +47,23 @@
 
 // IsDraining reports whether the daemon is draining.
 func (b *Board) IsDraining() bool {
-	p := b.Phase.Get()
+	return isDraining(b.Phase.Get())
+}
+
+// SetPhase sets the daemon's lifecycle phase, unless the daemon is draining: that is the last phase.
+func (b *Board) SetPhase(p Phase) {
+	b.Phase.Update(func(current *Phase) *Phase {
+		if isDraining(current) {
+			return current
+		}
+		return &p
+	})
+}
+
+func isDraining(p *Phase) bool {
 	if p == nil {
 		return false
 	}
 	_, draining := (*p).(Draining)
 	return draining
 }
-
-// SetPhase sets the daemon's lifecycle phase.
-func (b *Board) SetPhase(p Phase) {
-	b.Phase.Set(&p)
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -126,8 +126,11 @@
 	ready := d.waitUntil(ctx, func() bool {
 		return d.node.Board.Tree.Get() != nil && d.node.Board.Confirmation.Get().Fresh(time.Now())
 	})
-	if ready && !d.node.Board.IsDraining() {
-		d.node.Board.SetPhase(blackboard.Serving{})
+	if !ready {
+		return
+	}
+	d.node.Board.SetPhase(blackboard.Serving{})
+	if !d.node.Board.IsDraining() {
 		events.Ready.Log(d.log, zap.Uint64("revision", d.node.Acceptor.Revision()))
 	}
 }
