Fix: SIGHUP stops a daemon of `serve` without cutting requests

SIGHUP ended the process at once, by the default action of the signal, at any time and also during a stop, of which OPERATIONS says that a second signal changes nothing: callers saw their connections closed, and bookings that were running had no answer and no recorded outcome.

TestHangUpStopsWithoutCuttingRequests failed before (the connection ended without an answer, "signal: hangup"). Now SIGHUP stops the daemon as SIGTERM does, unless the process was started with the signal ignored (nohup).

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -46,6 +46,9 @@
 	defer func() { _ = log.Sync() }()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if !signal.Ignored(syscall.SIGHUP) {
+		signal.Notify(signals, syscall.SIGHUP)
+	}
 	d, err := daemon.New(s, log.With(zap.String("vm", s.Name)))
 	if err != nil {
 		return err
--- a/internal/process/stop_test.go
+++ b/internal/process/stop_test.go
@@ -126,6 +126,25 @@
 	require.Equal(t, 1, f.runs("booked"))
 }
 
+// Guards against requests that are cut without an answer because SIGHUP ends the process at once, before a stop or in it.
+func TestHangUpStopsWithoutCuttingRequests(t *testing.T) {
+	f := startStoppingFleet(t)
+	f.setFaults(faketarget.Faults{Frozen: true})
+	d := f.daemons[0]
+	booking := f.connect(d)
+	booking.write(request("booking", "grants", "booked", longDeadline))
+	f.eventually(func() bool { return f.runs("booked") == 1 }, "the booking has reached its target")
+	for range 2 {
+		f.signal(d.name, syscall.SIGHUP)
+		f.eventually(func() bool { return !f.ready(d) }, "%s is not ready", d.name)
+	}
+	a := booking.read()
+	require.Equal(t, "unknown", a.Outcome)
+	require.True(t, a.closes)
+	require.NoError(t, f.processes[d.name].Wait())
+	require.Equal(t, 1, f.runs("booked"))
+}
+
 // Guards against requests that are cut without an answer because the process had no processor time while answers were due.
 func TestStopAnswersRequestsAfterAStall(t *testing.T) {
 	f := startStoppingFleet(t)
