--- a/internal/logsink/sink_test.go
+++ b/internal/logsink/sink_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"testing"
+	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
 
@@ -23,6 +24,17 @@
 	s.Close()
 }
 
+// TestCloseGivesUpOnAWriterThatHangs guards against a process that does not exit because nobody reads its log.
+func TestCloseGivesUpOnAWriterThatHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, w := io.Pipe()
+		s := logsink.New(w)
+		_, _ = s.Write([]byte("line\n"))
+		s.Close()
+		require.NoError(t, r.Close())
+	})
+}
+
 func TestCloseWritesQueuedLines(t *testing.T) {
 	var b bytes.Buffer
 	s := logsink.New(&b)
