Stop: a search whose aggregators all leave is queried by its own daemon

Callers saw: when all aggregators of a bucket stop at the same moment, a search whose time outlasts their exit was answered as failed or not run, although the targets were free.

Cause: aggregators that leave refuse calls that could outlast their exit. After three refusals the shards were reported as not run, and the daemon that had received the search never queried the targets itself.

Fix: after the last refusal the daemon runs the call on itself, with the attempts that are left. A refused call has reached no target. If this daemon cannot query them either, nothing is sent.

--- a/internal/aggregatorclient/batch.go
+++ b/internal/aggregatorclient/batch.go
@@ -28,7 +28,8 @@
 	// probeTimeout is the share of the objective that a loopback probe may take. Datagrams from a VM to itself are
 	// hardly ever lost.
 	probeTimeout = 0.25
-	// maxRefusals is how many aggregators may refuse a call before its shards are reported as not run.
+	// maxRefusals is how many aggregators may refuse a call before the last one, after which this daemon queries the
+	// targets itself.
 	maxRefusals = assignment.AggregatorsPerBucket - 1
 )
 
@@ -306,7 +307,8 @@
 	return partswire.DecodeBlock(block, g.aggregator, func(shard int) int { return g.indexes[shard] })
 }
 
-// handleRefusal queries the next aggregator for the shards of a refused call.
+// handleRefusal queries the next aggregator for the shards of a refused call. After the last aggregator, this daemon
+// queries the targets itself.
 func (b *batch) handleRefusal(g *shardGroup, now time.Time) {
 	b.client.deprioritize(g.aggregator, now)
 	b.client.unregister(g.id)
@@ -314,8 +316,11 @@
 	g.pending = nil
 	next, ok := b.client.fallbackFor(b.plan, indexes[0], b.jobs[indexes[0]].Service, g.aggregator, now)
 	if !ok || g.refusals >= maxRefusals {
-		b.markNotRun(indexes)
-		return
+		if g.aggregator == b.client.Name {
+			b.markNotRun(indexes)
+			return
+		}
+		next = b.client.Name
 	}
 	b.call(&shardGroup{aggregator: next, indexes: indexes, fallback: g.fallback, refusals: g.refusals + 1}, g.attempts, now)
 }
--- a/internal/aggregatorclient/stop_test.go
+++ b/internal/aggregatorclient/stop_test.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/assignment"
 	"github.com/knapweedpoint/knapweedpoint/internal/scriptedtarget"
 )
 
@@ -75,3 +76,40 @@
 		})
 	}
 }
+
+// Guards against searches that are refused although this daemon can query the targets itself, when all aggregators of a
+// bucket stop at the same moment.
+func TestSearchesOutliveAllAggregatorsOfABucket(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		timeout time.Duration
+		// selfReady is set if the requesting daemon knows targets.
+		selfReady bool
+		want      string
+		targets   int
+	}{
+		{"ends before the exit", exitAt - time.Second, true, "done", 1},
+		{"may outlast the exit", exitAt + time.Second, true, "done", 1},
+		{"nobody can query the targets", exitAt + time.Second, false, "failed", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(steady)
+				requester := f.requester()
+				f.aggregators[requester].Ready = func() bool { return c.selfReady }
+				for _, s := range shardNames() {
+					for _, a := range f.table.Get().Aggregators("", s, requester, "") {
+						f.aggregators[a].Drain(time.Now().Add(exitAt))
+					}
+				}
+				out, _, elapsed := f.searchWithin(context.Background(), requester, c.timeout)
+				f.close()
+				require.Equal(t, c.want, out.Label())
+				require.LessOrEqual(t, elapsed, work+2*hop*assignment.AggregatorsPerBucket)
+				for _, s := range shardNames() {
+					require.Equal(t, c.targets, f.targetsQueried(s), s)
+				}
+			})
+		})
+	}
+}
