Searches: what a silent aggregator may have run is not "not run"

Callers saw: 503 "not run" for a search that an aggregator had sent to targets. That aggregator did not reply, and all others refused the call.

Cause: the refusals of the fallbacks decided the outcome of the shards, and the earlier silence was forgotten.

Evidence: TestRefusalAfterSilenceIsNotNotRun failed before ("notRun", with one target queried).

Fix: shards that a silent aggregator was called for are lost when the last fallback refuses them.

--- a/internal/aggregatorclient/batch.go
+++ b/internal/aggregatorclient/batch.go
@@ -316,11 +316,17 @@
 	g.pending = nil
 	next, ok := b.client.fallbackFor(b.plan, indexes[0], b.jobs[indexes[0]].Service, g.aggregator, now)
 	if !ok || g.refusals >= maxRefusals {
-		if g.aggregator == b.client.Name {
+		switch {
+		case g.aggregator != b.client.Name:
+			next = b.client.Name
+		case g.fallback:
+			// The aggregator that did not reply may have queried targets.
+			b.markLost(g.aggregator, indexes)
+			return
+		default:
 			b.markNotRun(indexes)
 			return
 		}
-		next = b.client.Name
 	}
 	b.call(&shardGroup{aggregator: next, indexes: indexes, fallback: g.fallback, refusals: g.refusals + 1}, g.attempts, now)
 }
--- a/internal/aggregatorclient/client_test.go
+++ b/internal/aggregatorclient/client_test.go
@@ -175,7 +175,12 @@
 
 // searchWithin runs one search with the given timeout on a daemon.
 func (f *fleet) searchWithin(ctx context.Context, at string, timeout time.Duration) (scatter.Outcome, scatter.Trace, time.Duration) {
-	d := routetable.Scatter{Shards: shardNames(), TopK: 20, MinCoverage: 0.95}
+	return f.searchShards(ctx, at, timeout, shardNames())
+}
+
+// searchShards runs one search over the given shards.
+func (f *fleet) searchShards(ctx context.Context, at string, timeout time.Duration, shards []string) (scatter.Outcome, scatter.Trace, time.Duration) {
+	d := routetable.Scatter{Shards: shards, TopK: 20, MinCoverage: 0.95}
 	g := scatter.Gatherer{Runner: f.roots[at], Margin: margin}
 	start := time.Now()
 	out, trace := g.Run(ctx, scatter.Search{
--- a/internal/aggregatorclient/stop_test.go
+++ b/internal/aggregatorclient/stop_test.go
@@ -113,3 +113,22 @@
 		})
 	}
 }
+
+// Guards against a search that is told that it has not run although an aggregator that is silent runs it: the others
+// leave and refuse it.
+func TestRefusalAfterSilenceIsNotNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(steady)
+		requester := f.requester()
+		f.aggregators[requester].Ready = func() bool { return false }
+		aggregators := f.table.Get().Aggregators("", "s0", requester, "")
+		f.drops = func(from, _, _ string, _ int) bool { return from == aggregators[2] }
+		for _, a := range aggregators[:2] {
+			f.aggregators[a].Drain(time.Now().Add(exitAt))
+		}
+		out, _, _ := f.searchShards(context.Background(), requester, exitAt+time.Second, []string{"s0"})
+		f.close()
+		require.Equal(t, 1, f.targetsQueried("s0"))
+		require.Equal(t, "failed", out.Label())
+	})
+}
