Retry budget: a larger share of the slack counts after one window

Found: the sum of additional sends over all daemons exceeds budget-slack in a plain rolling restart of a small fleet. A restarted daemon begins with a fresh share of the slack although its earlier process has used one in the same window. The same holds for a daemon that becomes an aggregator while the one before it has used its share, and for the larger shares of those that remain.

Fix: a budget uses the smallest share of the slack that was in force within the last window. What a daemon has spent in a window is then at most its share at the window's start, so the sum is that of one moment. A process that is not started with the whole fleet (firstStart) begins with a share of zero. The ratio's part is not changed, and a first start keeps its slack.

--- a/internal/entry/aggregators.go
+++ b/internal/entry/aggregators.go
@@ -128,9 +128,10 @@
 // retryShare returns this daemon's share of the retry budgets in a fleet of the given size.
 func (d *Daemon) retryShare(members int) func(service string) retrybudget.Share {
 	equal := retrybudget.EqualShares(max(members, minMembers))
-	table, name := d.assignments.Get(), d.Settings().Name
+	routes, table, name := d.State().OperatorState.Table, d.assignments.Get(), d.Settings().Name
 	return func(service string) retrybudget.Share {
-		if !d.usesAggregators(service) {
+		shards := routes.MaxShards(service)
+		if shards == 0 || !table.UsesAggregators(shards) {
 			return equal(service)
 		}
 		return retrybudget.AggregatorShare(table.IsAggregator(service, name), table.AggregatorsPerShard(), members)
--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -47,7 +47,7 @@
 	i := do.New()
 	do.ProvideValue(i, &targetselect.Selector{AvailabilityZone: d.Settings().AvailabilityZone})
 	do.ProvideValue(i, &sendgate.Gate{})
-	do.ProvideValue(i, &retrybudget.Budget{})
+	do.ProvideValue(i, &retrybudget.Budget{Restarted: !d.Settings().FirstStart})
 	do.ProvideValue(i, &split.Picker{})
 	do.ProvideValue(i, &crashguard.Guard{})
 	do.ProvideValue(i, &targetlimit.Register{})
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -1,6 +1,7 @@
 package retrybudget
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -52,13 +53,23 @@
 
 // Budget counts requests and additional sends by service; its zero value allows no additional sends.
 type Budget struct {
-	mu      sync.Mutex
-	rule    Rule
-	shareOf func(service string) Share
+	// Restarted is set if an earlier process may have used this daemon's share of the slack a short while ago.
+	Restarted bool
+
+	mu   sync.Mutex
+	rule Rule
+	// shares holds the shares that were in force within the last window, the latest one last.
+	shares  []shares
 	windows map[string]*window
 	start   time.Time
 }
 
+// shares are the shares of all services from a point in time on.
+type shares struct {
+	from time.Time
+	of   func(service string) Share
+}
+
 type window struct {
 	requests [buckets]int
 	// additional counts the additional sends.
@@ -67,12 +78,31 @@
 	current int64
 }
 
-// SetRule replaces the rule and this daemon's share of each service's allowance.
+// SetRule replaces the rule and this daemon's share of each service's allowance. A larger share of the slack is used only
+// after it has been in force for one window, because the daemon that had it before may have used it.
 func (b *Budget) SetRule(r Rule, shareOf func(service string) Share) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := time.Now()
 	b.rule = r
-	b.shareOf = shareOf
+	if b.shares == nil && b.Restarted {
+		b.shares = append(b.shares, shares{from: now, of: func(string) Share { return Share{} }})
+	}
+	for len(b.shares) > 1 && now.Sub(b.shares[1].from) > r.Window {
+		b.shares = b.shares[1:]
+	}
+	b.shares = append(b.shares, shares{from: now, of: shareOf})
+}
+
+// slack returns the smallest share of a service's slack that was in force within the last window. The caller must hold mu.
+func (b *Budget) slack(service string, now time.Time) float64 {
+	smallest := math.Inf(1)
+	for i, s := range b.shares {
+		if last := i == len(b.shares)-1; last || now.Sub(b.shares[i+1].from) <= b.rule.Window {
+			smallest = min(smallest, s.of(service).Slack)
+		}
+	}
+	return smallest
 }
 
 // EqualShares returns the shares when all daemons send to every service and each counts only its own requests.
@@ -94,12 +124,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
-	if b.shareOf == nil {
+	if len(b.shares) == 0 {
 		return false
 	}
 	requests, additional := sum(w.requests), sum(w.additional)
-	share := b.shareOf(service)
-	allowed := usedShare * (share.Ratio*b.rule.Ratio*float64(requests) + share.Slack*b.rule.Slack)
+	ratio := b.shares[len(b.shares)-1].of(service).Ratio
+	allowed := usedShare * (ratio*b.rule.Ratio*float64(requests) + b.slack(service, now)*b.rule.Slack)
 	if float64(additional+1) > allowed {
 		return false
 	}
