--- a/internal/aggregatorclient/stop_test.go
+++ b/internal/aggregatorclient/stop_test.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/assignment"
 	"github.com/knapweedpoint/knapweedpoint/internal/scriptedtarget"
 )
 
@@ -75,3 +76,59 @@
 		})
 	}
 }
+
+// Guards against searches that are refused although this daemon can query the targets itself, when all aggregators of a
+// bucket stop at the same moment.
+func TestSearchesOutliveAllAggregatorsOfABucket(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		timeout time.Duration
+		// selfReady is set if the requesting daemon knows targets.
+		selfReady bool
+		want      string
+		targets   int
+	}{
+		{"ends before the exit", exitAt - time.Second, true, "done", 1},
+		{"may outlast the exit", exitAt + time.Second, true, "done", 1},
+		{"nobody can query the targets", exitAt + time.Second, false, "failed", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(steady)
+				requester := f.requester()
+				f.aggregators[requester].Ready = func() bool { return c.selfReady }
+				for _, s := range shardNames() {
+					for _, a := range f.table.Get().Aggregators("", s, requester, "") {
+						f.aggregators[a].Drain(time.Now().Add(exitAt))
+					}
+				}
+				out, _, elapsed := f.searchWithin(context.Background(), requester, c.timeout)
+				f.close()
+				require.Equal(t, c.want, out.Label())
+				require.LessOrEqual(t, elapsed, work+2*hop*assignment.AggregatorsPerBucket)
+				for _, s := range shardNames() {
+					require.Equal(t, c.targets, f.targetsQueried(s), s)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a search that is told that it has not run although an aggregator that is silent runs it: the others
+// leave and refuse it.
+func TestRefusalAfterSilenceIsNotNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(steady)
+		requester := f.requester()
+		f.aggregators[requester].Ready = func() bool { return false }
+		aggregators := f.table.Get().Aggregators("", "s0", requester, "")
+		f.drops = func(from, _, _ string, _ int) bool { return from == aggregators[2] }
+		for _, a := range aggregators[:2] {
+			f.aggregators[a].Drain(time.Now().Add(exitAt))
+		}
+		out, _, _ := f.searchShards(context.Background(), requester, exitAt+time.Second, []string{"s0"})
+		f.close()
+		require.Equal(t, 1, f.targetsQueried("s0"))
+		require.Equal(t, "failed", out.Label())
+	})
+}
