Leaving: the store's word ends after a minute of ready

A target that the store once called draining stayed unused until it started anew, even if its later entries said ready: the register kept the store's word like the target's own.

The word of the store alone now ends once the published entry of the same incarnation has said ready for a minute throughout. What a target says in an answer stays final.

TestStoreRevokesOnlyItsOwnWord failed before in its three cases of a target that is ready again.

--- a/internal/entry/housekeeper.go
+++ b/internal/entry/housekeeper.go
@@ -14,6 +14,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
 	"github.com/knapweedpoint/knapweedpoint/internal/sendgate"
 	"github.com/knapweedpoint/knapweedpoint/internal/suspension"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetnotice"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetselect"
 )
 
@@ -160,7 +161,9 @@
 	}
 	d.options.Pool.Sweep(now, known)
 	h.selector.Retain(known)
-	h.gate.Retain(inv.Target, now)
+	for _, t := range h.gate.Retain(inv.Target, now) {
+		d.logNotice(t, storeSource, targetnotice.LeavingRevoked{})
+	}
 	d.sweepLimits(known)
 	d.logLimitedSends()
 	if n := d.options.DroppedLines(); n > 0 {
--- a/internal/entry/notices.go
+++ b/internal/entry/notices.go
@@ -38,6 +38,8 @@
 		logHold(events.TargetHoldsOff, zap.Time("until", x.Until), zap.Bool("again", true))
 	case targetnotice.HoldEnded:
 		logHold(events.TargetUsedAgain)
+	case targetnotice.LeavingRevoked:
+		events.TargetUsedAgain.Log(d.options.Log, fields...)
 	case targetnotice.Rejected:
 		logHold(events.HoldUnreadable, zap.String("text", x.Text))
 	case targetnotice.Unchanged:
--- a/internal/sendgate/gate.go
+++ b/internal/sendgate/gate.go
@@ -160,9 +160,10 @@
 	return leaving, holding
 }
 
-// Retain removes what is recorded of targets that are gone.
-func (g *Gate) Retain(published func(target string) (inventory.Target, bool), now time.Time) {
-	g.notices.Retain(published, now)
+// Retain removes what is recorded of targets that are gone, and returns those that are no longer leaving because the
+// store has called them ready again for long enough.
+func (g *Gate) Retain(published func(target string) (inventory.Target, bool), now time.Time) []inventory.Target {
+	returned := g.notices.Retain(published, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id := range g.sent {
@@ -170,6 +171,7 @@
 			delete(g.sent, id)
 		}
 	}
+	return returned
 }
 
 // accepting reports whether the target is in service, is not leaving and has not asked for a hold.
--- a/internal/targetnotice/observation.go
+++ b/internal/targetnotice/observation.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Observation is the effect of an answer on a register: Unchanged, LeavingBegun, HoldBegun, HoldExtended, HoldEnded or
-// Rejected.
+// Observation is the effect of an answer on a register: Unchanged, LeavingBegun, LeavingRevoked, HoldBegun,
+// HoldExtended, HoldEnded or Rejected.
 type Observation interface{ observation() }
 
 // Unchanged means that the answer changes nothing.
@@ -12,6 +12,9 @@
 // LeavingBegun means that the target is now known to be leaving.
 type LeavingBegun struct{}
 
+// LeavingRevoked means that the store has called the target ready again for long enough.
+type LeavingRevoked struct{}
+
 // HoldBegun means that the target has asked for a hold and had asked for none.
 type HoldBegun struct{ Until time.Time }
 
@@ -24,9 +27,10 @@
 // Rejected means that the hold that the target asked for is unreadable and was ignored.
 type Rejected struct{ Text string }
 
-func (Unchanged) observation()    {}
-func (LeavingBegun) observation() {}
-func (HoldBegun) observation()    {}
-func (HoldExtended) observation() {}
-func (HoldEnded) observation()    {}
-func (Rejected) observation()     {}
+func (Unchanged) observation()      {}
+func (LeavingBegun) observation()   {}
+func (LeavingRevoked) observation() {}
+func (HoldBegun) observation()      {}
+func (HoldExtended) observation()   {}
+func (HoldEnded) observation()      {}
+func (Rejected) observation()       {}
--- a/internal/targetnotice/record.go
+++ b/internal/targetnotice/record.go
@@ -13,6 +13,10 @@
 	address     string
 	// leavingSince is zero unless the target is leaving.
 	leavingSince time.Time
+	// announced is set once the target itself has said in an answer that it is leaving.
+	announced bool
+	// readySince is since when the incarnation's entry has said ready while only the store had said that it is leaving.
+	readySince time.Time
 	// holdUntil is the end of the hold; it is zero if there is none or the target has answered since its end.
 	holdUntil time.Time
 	// probedAt is the latest send after the end of the hold.
@@ -51,6 +55,23 @@
 	}
 }
 
+// revoke ends a notice that only the store gave if the published entry of the same incarnation has said ready for
+// revocationDelay. It reports whether it did.
+func (r *record) revoke(t inventory.Target, published bool, now time.Time) bool {
+	if r.leavingSince.IsZero() || r.announced || !published || t.Draining || !r.describes(t) {
+		r.readySince = time.Time{}
+		return false
+	}
+	if r.readySince.IsZero() {
+		r.readySince = now
+	}
+	if now.Sub(r.readySince) < revocationDelay {
+		return false
+	}
+	r.leavingSince, r.readySince = time.Time{}, time.Time{}
+	return true
+}
+
 // hold sets the end of the hold unless it ends later already.
 func (r *record) hold(until time.Time) Observation {
 	begun := r.holdUntil.IsZero()
--- a/internal/targetnotice/register.go
+++ b/internal/targetnotice/register.go
@@ -19,6 +19,10 @@
 	// absentRetention is how long the notices of an incarnation outlast its entry: longer than outages and rewinds of
 	// the store, after which an outdated entry may be published again.
 	absentRetention = time.Hour
+	// revocationDelay is how long an entry has to say ready before it revokes the draining of an earlier entry of the
+	// same incarnation: longer than a leaving target runs on, and than an outdated entry stays published if its target
+	// does not renew it.
+	revocationDelay = time.Minute
 )
 
 // Register holds the notices of targets; its zero value is empty.
@@ -46,6 +50,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if leaving {
+		r.record(t).announced = true
 		return r.markLeaving(t, now)
 	}
 	switch x := retryAfter.(type) {
@@ -75,6 +80,7 @@
 
 func (r *Register) markLeaving(t inventory.Target, now time.Time) Observation {
 	rec := r.record(t)
+	rec.readySince = time.Time{}
 	if !rec.leavingSince.IsZero() {
 		return Unchanged{}
 	}
@@ -135,13 +141,19 @@
 }
 
 // Retain removes the notices of incarnations that are gone. An incarnation without a known start is gone as soon as
-// its entry is, because the next one at its address could not be told apart.
-func (r *Register) Retain(published func(target string) (inventory.Target, bool), now time.Time) {
+// its entry is, because the next one at its address could not be told apart. It returns the targets that only the store
+// had called leaving and that have been published as ready again for long enough.
+func (r *Register) Retain(published func(target string) (inventory.Target, bool), now time.Time) []inventory.Target {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var returned []inventory.Target
 	for id := range r.records {
 		t, ok := published(id)
 		r.drop(id, func(rec *record) bool {
+			if rec.revoke(t, ok, now) {
+				returned = append(returned, t)
+				return rec.holdUntil.IsZero()
+			}
 			if ok && rec.covers(t) {
 				rec.absentSince = time.Time{}
 				return false
@@ -152,6 +164,7 @@
 			return rec.startMillis == 0 || now.Sub(rec.absentSince) >= absentRetention
 		})
 	}
+	return returned
 }
 
 // record returns the record of the target's incarnation; it creates one if there is none.
--- a/internal/targetnotice/register_test.go
+++ b/internal/targetnotice/register_test.go
@@ -172,3 +172,42 @@
 	r.Retain(func(string) (inventory.Target, bool) { return inventory.Target{}, false }, at(1))
 	require.True(t, r.Admit(unborn, at(1)))
 }
+
+// Guards against a target that stays unused for ever after the store called it draining by mistake, and against an
+// outdated entry that brings a leaving one back.
+func TestStoreRevokesOnlyItsOwnWord(t *testing.T) {
+	draining, earlier, next := target, target, target
+	draining.Draining, earlier.StartMillis, next.StartMillis = true, 5, 9
+	for _, c := range []struct {
+		name string
+		// entries are published at each second in turn, the last of them from then on; a zero entry is none.
+		entries []inventory.Target
+		// announces is when an answer says that the target is leaving; 0 if none does.
+		announces int
+		// freeAt is when the target is used again; 0 if never.
+		freeAt int
+	}{
+		{"ready", []inventory.Target{target}, 0, 60},
+		{"drains again", []inventory.Target{target, target, draining, target}, 0, 63},
+		{"withdrawn meanwhile", []inventory.Target{target, {}, target}, 0, 62},
+		{"withdrawn", []inventory.Target{{}}, 0, 0},
+		{"still draining", []inventory.Target{draining}, 0, 0},
+		{"an outdated entry of an earlier start", []inventory.Target{earlier}, 0, 0},
+		{"the entry of the next start", []inventory.Target{next}, 0, 0},
+		{"said in an answer, too", []inventory.Target{target}, 30, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var r targetnotice.Register
+			r.MarkLeaving(draining, at(0))
+			for s := range 600 {
+				if c.announces == s && s > 0 {
+					r.Observe(target, leaving(), at(0), at(float64(s)))
+				}
+				x := c.entries[min(s, len(c.entries)-1)]
+				returned := r.Retain(func(string) (inventory.Target, bool) { return x, x.ID != "" }, at(float64(s)))
+				require.Equal(t, c.freeAt > 0 && s == c.freeAt, len(returned) == 1, "second %d", s)
+				require.Equal(t, c.freeAt > 0 && s >= c.freeAt, free(&r, target, at(float64(s))), "second %d", s)
+			}
+		})
+	}
+}
