--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -29,13 +29,14 @@
 	firstConfigurationWait = 250 * time.Millisecond
 	// configurationPollInterval is how often a waiting request checks for the first configuration.
 	configurationPollInterval = 5 * time.Millisecond
-	// retryAfterStopping is the retry delay for callers that a stopping daemon refuses. Other daemons can take the request
-	// at once, and a new connection takes longer than this.
-	retryAfterStopping = 10 * time.Millisecond
 	// defaultTimeout applies to routes without a timeout when the caller has no deadline.
 	defaultTimeout = 30 * time.Second
 )
 
+// RetryAfterStopping is the retry delay for callers that a stopping daemon refuses. Other daemons can take the request at
+// once, and a new connection takes longer than this.
+const RetryAfterStopping = 10 * time.Millisecond
+
 // Reasons of answers in addition to those of package forward.
 const (
 	ReasonUnconfigured   = "noConfiguration"
@@ -85,7 +86,7 @@
 	}
 	deadline, ok := d.Grace.Admit(time.Now(), d.deadline(r, route))
 	if !ok {
-		return d.finish(entry, NotRun{Reason: ReasonStopping, RetryAfter: retryAfterStopping})
+		return d.finish(entry, NotRun{Reason: ReasonStopping, RetryAfter: RetryAfterStopping})
 	}
 	switch x := route.Destination.(type) {
 	case routetable.Scatter:
