--- a/internal/process/stop_test.go
+++ b/internal/process/stop_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/faketarget"
@@ -148,6 +149,26 @@
 	require.NoError(t, f.processes[d.name].Wait())
 }
 
+// Guards against false answers about bookings, and a stop without end, while a peer that relays them is frozen.
+func TestStopBesideAFrozenPeerIsTruthful(t *testing.T) {
+	f := startStoppingFleet(t)
+	d := f.daemons[0]
+	f.signal(f.daemons[1].name, syscall.SIGSTOP)
+	var connections []*connection
+	for i := range 20 {
+		c := f.connect(d)
+		c.write(request("booking", "grants", fmt.Sprint("beside-", i), longDeadline))
+		connections = append(connections, c)
+	}
+	f.signal(d.name, syscall.SIGTERM)
+	for i, c := range connections {
+		a, runs := c.read(), f.runs(fmt.Sprint("beside-", i))
+		require.True(t, a.Outcome == "unknown" || runs == lo.Ternary(a.Outcome == "done", 1, 0), "%s, %d runs", a.Outcome, runs)
+	}
+	require.NoError(t, f.processes[d.name].Wait())
+	f.signal(f.daemons[1].name, syscall.SIGCONT)
+}
+
 // Guards against requests that were accepted late in a stop, passed on to a target and then cut off without an answer.
 func TestStopRefusesRequestsThatCannotEndInTime(t *testing.T) {
 	f := startStoppingFleet(t)
