Fix: a fleet that starts for the first time uses its retry slack at once

Callers of a new fleet got failures and searches with missing parts for one window, though another target was free: a daemon learns only after its start whether it is an aggregator, and the smallest share that was in force within the window counted, which was that of the moment before.

In the first window after a first start the current share counts. Nobody has used any slack before, and the shares change only until the daemons know each other.

TestFirstStartUsesItsShareAtOnce fails without the change.

--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -79,15 +79,21 @@
 }
 
 // SetRule replaces the rule and this daemon's share of each service's allowance. A larger share of the slack is used only
-// after it has been in force for one window, because the daemon that had it before may have used it.
+// after it has been in force for one window, because the daemon that had it before may have used it. In the first window
+// after a first start it is used at once.
 func (b *Budget) SetRule(r Rule, shareOf func(service string) Share) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	b.rule = r
+	b.bucket(now)
 	if b.shares == nil && b.Restarted {
 		b.shares = append(b.shares, shares{from: now, of: func(string) Share { return Share{} }})
 	}
+	// Nobody has used the slack before a first start, and the shares change until the daemons know each other.
+	if !b.Restarted && now.Sub(b.start) < r.Window {
+		b.shares = nil
+	}
 	for len(b.shares) > 1 && now.Sub(b.shares[1].from) > r.Window {
 		b.shares = b.shares[1:]
 	}
--- a/internal/retrybudget/restart_test.go
+++ b/internal/retrybudget/restart_test.go
@@ -72,3 +72,26 @@
 		}
 	}
 }
+
+// Guards against a fleet that starts for the first time and has no slack because its daemons learn only after their start
+// which of them are aggregators.
+func TestFirstStartUsesItsShareAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := retrybudget.Rule{Slack: 100, Window: 10 * time.Second}
+		var b retrybudget.Budget
+		set := func(slack float64) {
+			b.SetRule(r, func(string) retrybudget.Share { return retrybudget.Share{Slack: slack} })
+		}
+		set(0)
+		time.Sleep(2 * time.Second)
+		set(0.2)
+		first := spendAll(&b)
+		require.Equal(t, 17, first)
+		time.Sleep(9 * time.Second)
+		set(0.8)
+		require.Zero(t, spendAll(&b), "a later increase counts after one window")
+		time.Sleep(11 * time.Second)
+		set(0.8)
+		require.Equal(t, 68, spendAll(&b))
+	})
+}
