Fix: a retry that waited for a grant goes to another target and is charged

Callers got searches without a part though another target of the shard was free. An aggregator makes an additional send only with a grant of the requesting daemon. When the grant came after the first send had failed, the job went on as if all targets had been full: it picked among all targets, the failed one included, and charged nothing to the retry budget.

Evidence: the trace of TestCutHeadIsNotAPart with three daemons, partsEnded with two sends to shard1-a and none to shard1-b. TestRetryThatWaitedForAGrant- GoesToAnotherTarget failed before: two sends to the same target. Now a retry without its grant is decided again, whole, when the grant is there.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -48,9 +48,11 @@
 	lastFailure Outcome
 	// outcome is set once the job has ended.
 	outcome Outcome
-	// hedgeAt is when a hedge is due; retryAt is when full targets are tried again. Each is zero when nothing is due.
-	hedgeAt time.Time
-	retryAt time.Time
+	// hedgeAt is when a hedge is due; retryAt is when full targets are tried again; grantAt is when a retry checks again
+	// for its hedge grant. Each is zero when nothing is due.
+	hedgeAt, retryAt, grantAt time.Time
+	// arrived is set if the send whose retry waits for a grant has reached its target.
+	arrived bool
 	trace   Trace
 }
 
@@ -81,7 +83,7 @@
 // due returns when the run has to act next.
 func (r *run) due() time.Time {
 	at := r.job.Deadline
-	for _, t := range []time.Time{r.hedgeAt, r.retryAt} {
+	for _, t := range []time.Time{r.hedgeAt, r.retryAt, r.grantAt} {
 		if !t.IsZero() && t.Before(at) {
 			at = t
 		}
@@ -104,6 +106,12 @@
 			return r.failure()
 		}
 	}
+	if !r.grantAt.IsZero() && !now.Before(r.grantAt) {
+		r.grantAt = time.Time{}
+		if out := r.retry(true, r.arrived, now); out != nil {
+			return out
+		}
+	}
 	if !r.hedgeAt.IsZero() && !now.Before(r.hedgeAt) {
 		r.hedge(now)
 	}
@@ -231,7 +239,7 @@
 		return r.failure()
 	}
 	if !r.mayResend() {
-		r.retryAt = now.Add(resendPollInterval)
+		r.grantAt, r.arrived = now.Add(resendPollInterval), arrived
 		return nil
 	}
 	if arrived && !r.batch.forwarder.Budget.Spend(r.job.Service, now) {
