Fleets of processes listen on a loopback address of their own

A target's process was not there.

Cause: `standin layout` asked the kernel for free ports of 127.0.0.1 and closed them. They lie in the range from which the kernel takes the ports of outgoing connections and of other listeners, and each outgoing connection on loopback has the source 127.0.0.1, even one to another loopback address. An outgoing connection keeps its port from listeners while it is open and while it is in TIME_WAIT. A target whose port is taken ends at its start. The fixture waited for the daemons and for a search only, which needs neither the targets of other services nor every replica.

Evidence: with an outgoing connection from the port of visitSearch-01-1, jobCards-01-1, -2 or -3, the test failed on the same line with the same message, and the target's output was 'bind: address already in use'. On a busy machine, 41 of 3905 sets of 31 such ports had lost a port when they were bound again after 100 ms.

A process that ends although the test did not stop it fails the test with its output.

No check of a test changed.

--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -22,6 +23,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/fakeplatform"
 	"github.com/knapweedpoint/knapweedpoint/internal/faketarget"
 	"github.com/knapweedpoint/knapweedpoint/internal/fleetsim"
+	"github.com/knapweedpoint/knapweedpoint/internal/loopback"
 	"github.com/knapweedpoint/knapweedpoint/internal/operatorapi"
 	"github.com/knapweedpoint/knapweedpoint/pkg/caller"
 	"github.com/knapweedpoint/knapweedpoint/pkg/platform"
@@ -39,7 +41,22 @@
 	platform  string
 	daemons   []*daemon
 	targets   map[string]string
-	processes map[string]*exec.Cmd
+	processes map[string]*process
+	group     sync.WaitGroup
+}
+
+// process is a started program. Its end fails the test unless the test stopped it.
+type process struct {
+	command *exec.Cmd
+	stopped atomic.Bool
+	ended   chan struct{}
+	err     error
+}
+
+// Wait waits for the program's end and returns its error.
+func (p *process) Wait() error {
+	<-p.ended
+	return p.err
 }
 
 type daemon struct {
@@ -62,9 +79,12 @@
 // startFleetWith starts a fleet with changed settings of its daemons.
 func startFleetWith(t *testing.T, warm bool, change func(settings.Daemon) settings.Daemon) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir(), bin: build(t), targets: map[string]string{}, processes: map[string]*exec.Cmd{}}
+	f := &fleet{t: t, dir: t.TempDir(), bin: build(t), targets: map[string]string{}, processes: map[string]*process{}}
+	network, err := loopback.Reserve()
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, network.Close()) })
 	t.Cleanup(f.stop)
-	out, err := exec.Command(filepath.Join(f.bin, "standin"), "layout", "--dir", f.dir).CombinedOutput()
+	out, err := exec.Command(filepath.Join(f.bin, "standin"), "layout", "--dir", f.dir, "--host", network.Host(0)).CombinedOutput()
 	require.NoError(t, err, string(out))
 	f.platform = strings.TrimSpace(f.read("platform.txt"))
 	f.start("platform", "standin", "platform", "--listen", f.platform, "--tree", f.path("tree.json"), "--vms", f.path("vms.json"))
@@ -81,6 +101,9 @@
 		f.changeSettings(d, change)
 		f.start(d.name, "knapweedpoint", "serve", "--settings", f.path("daemon-"+d.name+".json"))
 	}
+	for name, address := range f.targets {
+		f.eventually(func() bool { return answers(address + faketarget.PathRecord) }, "%s answers", name)
+	}
 	for _, d := range f.daemons {
 		f.eventually(func() bool { return f.ready(d) }, "%s is ready", d.name)
 	}
@@ -122,19 +145,34 @@
 	c := exec.Command(filepath.Join(f.bin, program), args...)
 	c.Stdout, c.Stderr = out, out
 	require.NoError(f.t, c.Start())
-	f.processes[name] = c
+	p := &process{command: c, ended: make(chan struct{})}
+	f.processes[name] = p
+	f.group.Go(func() {
+		p.err = c.Wait()
+		_ = out.Close()
+		if !p.stopped.Load() {
+			data, _ := os.ReadFile(out.Name())
+			f.t.Errorf("%s ended although nobody stopped it: %v\n%s", name, p.err, data)
+		}
+		close(p.ended)
+	})
 }
 
 func (f *fleet) signal(name string, s syscall.Signal) {
-	require.NoError(f.t, f.processes[name].Process.Signal(s))
+	p := f.processes[name]
+	if s != syscall.SIGSTOP && s != syscall.SIGCONT {
+		p.stopped.Store(true)
+	}
+	require.NoError(f.t, p.command.Process.Signal(s))
 }
 
 func (f *fleet) stop() {
-	for _, c := range f.processes {
-		_ = c.Process.Signal(syscall.SIGCONT)
-		_ = c.Process.Kill()
-		_ = c.Wait()
+	for _, p := range f.processes {
+		p.stopped.Store(true)
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		_ = p.command.Process.Kill()
 	}
+	f.group.Wait()
 }
 
 func (f *fleet) eventually(done func() bool, format string, args ...any) {
@@ -147,8 +185,11 @@
 	require.Failf(f.t, "not in time", format, args...)
 }
 
-func (f *fleet) ready(d *daemon) bool {
-	resp, err := http.Get("http://" + d.operators + operatorapi.PathReady)
+func (f *fleet) ready(d *daemon) bool { return answers(d.operators + operatorapi.PathReady) }
+
+// answers reports whether a GET request to a URL without its scheme is answered with status 200.
+func answers(url string) bool {
+	resp, err := http.Get("http://" + url)
 	if err != nil {
 		return false
 	}
--- a/internal/standincli/layout.go
+++ b/internal/standincli/layout.go
@@ -2,10 +2,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -22,12 +26,12 @@
 }
 
 func newLayout() *cobra.Command {
-	var dir, name string
+	var dir, name, host string
 	var vms int
 	c := &cobra.Command{
 		Use:     "layout",
-		Short:   "Write settings, a VM list and target options of a deployment on free loopback ports",
-		Long:    "Write tree.json, vms.json, one file per daemon and per target, and the lists daemons.txt and targets.txt (name and addresses, one entry per line).",
+		Short:   "Write settings, a VM list and target options of a deployment on free ports of a loopback address",
+		Long:    "Write tree.json, vms.json, one file per daemon and per target, and the lists daemons.txt and targets.txt (name and addresses, one entry per line). The ports are free at the moment; a host of its own, such as 127.9.0.1, keeps them from other programs.",
 		Example: "  standin layout --deployment small --dir /tmp/fleet",
 		Args:    cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
@@ -38,11 +42,12 @@
 			if vms > 0 {
 				d = d.WithVMs(vms)
 			}
-			return writeLayout(d, dir)
+			return writeLayout(d, dir, host)
 		},
 	}
 	c.Flags().StringVar(&dir, "dir", "", "directory to write to")
 	c.Flags().StringVar(&name, "deployment", "small", "small, tochtwering or pommeraie")
+	c.Flags().StringVar(&host, "host", "127.0.0.1", "IP address of all daemons, targets and the platform")
 	c.Flags().IntVar(&vms, "vms", 0, "number of VMs; 0 uses the deployment's own number")
 	_ = c.MarkFlagRequired("dir")
 	return c
@@ -61,8 +66,8 @@
 	}
 }
 
-func writeLayout(d layout.Deployment, dir string) error {
-	ports, err := freePorts(1 + 3*d.VMs + len(d.TargetOptions()))
+func writeLayout(d layout.Deployment, dir, host string) error {
+	ports, err := freePorts(host, 1+3*d.VMs+len(d.TargetOptions()))
 	if err != nil {
 		return err
 	}
@@ -138,16 +143,31 @@
 	return nil
 }
 
-// freePorts returns n loopback addresses with ports that are free at the moment.
-func freePorts(n int) ([]string, error) {
+// firstPort and portCount are a range of ports that the kernel assigns neither to outgoing connections nor to listeners
+// without a port: by default, Linux assigns 32768 to 60999.
+const (
+	firstPort = 10_000
+	portCount = 20_000
+)
+
+// freePorts returns n addresses with ports that are free at the moment.
+func freePorts(host string, n int) ([]string, error) {
 	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	start := rand.IntN(portCount)
+	for i := 0; len(addresses) < n; i++ {
+		if i == portCount {
+			return nil, errorx.ExternalError.New("%s has fewer than %d free ports", host, n)
+		}
+		address := net.JoinHostPort(host, strconv.Itoa(firstPort+(start+i)%portCount))
+		l, err := net.Listen("tcp", address)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
 		if err != nil {
 			return nil, errorx.ExternalError.Wrap(err, "find a free port")
 		}
 		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
+		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
