Process tests end once one of their processes has ended by itself

A wait for a process that has ended lasted its whole minute, or without end when another program listened at its address: readiness checks had no time limit.

--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -181,6 +181,9 @@
 		if done() {
 			return
 		}
+		if f.t.Failed() {
+			f.t.FailNow()
+		}
 	}
 	require.Failf(f.t, "not in time", format, args...)
 }
@@ -189,7 +192,8 @@
 
 // answers reports whether a GET request to a URL without its scheme is answered with status 200.
 func answers(url string) bool {
-	resp, err := http.Get("http://" + url)
+	client := http.Client{Timeout: waitTimeout}
+	resp, err := client.Get("http://" + url)
 	if err != nil {
 		return false
 	}
