Refused connections are tested at addresses that nobody else can take

Tests of pkg/target and internal/peerapi closed a listener and required that a call to its port is refused. Any listener of another program could have taken the port. They call an address of a loopback network of their own instead. Shown by reading; no such failure was seen.

--- a/internal/peerapi/contract_test.go
+++ b/internal/peerapi/contract_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/layout"
+	"github.com/knapweedpoint/knapweedpoint/internal/loopback"
 	"github.com/knapweedpoint/knapweedpoint/internal/node"
 	"github.com/knapweedpoint/knapweedpoint/internal/peer"
 	"github.com/knapweedpoint/knapweedpoint/internal/peerpb"
@@ -87,9 +88,9 @@
 }
 
 func TestExchangeWithoutConnectionIsNotSent(t *testing.T) {
-	s := httptest.NewServer(http.NotFoundHandler())
-	address := s.Listener.Addr().String()
-	s.Close()
-	_, err := (&peer.Client{}).Exchange(context.Background(), address, &peerpb.Envelope{})
+	network, err := loopback.Reserve()
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, network.Close()) })
+	_, err = (&peer.Client{}).Exchange(context.Background(), network.Host(0)+":7001", &peerpb.Envelope{})
 	require.True(t, errorx.IsOfType(err, peer.NotSent), "%v", err)
 }
--- a/pkg/target/contract_test.go
+++ b/pkg/target/contract_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/faketarget"
+	"github.com/knapweedpoint/knapweedpoint/internal/loopback"
 	"github.com/knapweedpoint/knapweedpoint/pkg/settings"
 	"github.com/knapweedpoint/knapweedpoint/pkg/target"
 )
@@ -83,10 +82,10 @@
 }
 
 func TestRefusedConnectionIsNotHanded(t *testing.T) {
-	s := httptest.NewServer(http.NotFoundHandler())
-	address := s.Listener.Addr().String()
-	s.Close()
-	_, err := (&target.Client{}).Run(context.Background(), address, batch(read(1)))
+	network, err := loopback.Reserve()
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, network.Close()) })
+	_, err = (&target.Client{}).Run(context.Background(), network.Host(0)+":7001", batch(read(1)))
 	require.True(t, errorx.IsOfType(err, target.NotSent), "%v", err)
 }
 
