Fix: a request whose handling panics is answered

A panic while a request was handled reached net/http, which closes the connection: the request had been read, perhaps passed on, and its caller got no answer. Panics in sends, aggregator calls and datagrams were already confined to the work that caused them; requests were left out.

The daemon now answers such a request with 502, which promises nothing, and logs workPanicked. TestRequestThatPanicsIsAnswered ended the test process with the panic before. No request is known that panics.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -35,6 +35,9 @@
 	"github.com/knapweedpoint/knapweedpoint/pkg/settings"
 )
 
+// reasonPanicked is the reason of the answer to a request whose handling panicked.
+const reasonPanicked = "panicked"
+
 // Daemon is one entry daemon.
 type Daemon struct {
 	options  Options
@@ -113,9 +116,11 @@
 // Ready reports whether the daemon accepts new callers: it has a configuration and was not told to stop.
 func (d *Daemon) Ready() bool { return d.State().Configured() && !d.board.IsDraining() }
 
-// Answer answers a request of a caller.
+// Answer answers a request of a caller. If its handling panics, the outcome is unknown.
 func (d *Daemon) Answer(ctx context.Context, q dispatch.CallerRequest) dispatch.Answer {
-	return d.dispatcher.Handle(ctx, q)
+	var a dispatch.Answer = dispatch.Lost{Reason: reasonPanicked}
+	workers.Protect(func() { a = d.dispatcher.Handle(ctx, q) }, d.panicked)
+	return a
 }
 
 // Run serves until a signal to stop arrives and the requests in flight have ended. A SIGHUP reloads the settings.
