Fix: all connections that wait when a daemon stops are accepted

A stopping daemon accepted the connections that its passed deadline had hidden for 5 ms and then closed the listener. What took longer to accept, because many connections waited or the process had little processor time, was reset, although the handshake was complete and a request may have been sent. The requests had not been read, so callers lost a try.

Rounds of 5 ms now go on until one accepts nothing, at most 20 of them because callers may go on connecting. TestListenerClosesWhileCallersConnect shows that the rounds end.

--- a/internal/gracefulhttp/listener.go
+++ b/internal/gracefulhttp/listener.go
@@ -7,15 +7,20 @@
 	"time"
 )
 
-// lastAccept is the time for a last round of Accept. A deadline that has passed hides connections that wait.
-const lastAccept = 5 * time.Millisecond
+const (
+	// lastAccept is the time for a last round of Accept. A deadline that has passed hides connections that wait.
+	lastAccept = 5 * time.Millisecond
+	// maxLastRounds bounds the last rounds, because callers may still connect.
+	maxLastRounds = 20
+)
 
 // listener tracks the connections that it accepts.
 type listener struct {
 	net.Listener
 	tracker *Tracker
-	// lastRound is set once connections that were hidden by the deadline are being accepted.
-	lastRound bool
+	// lastRounds is the number of last rounds, accepted whether the latest one has accepted a connection.
+	lastRounds int
+	accepted   bool
 }
 
 // Accept returns the next connection. After the tracker's Stop it closes the listener once no connection waits. It must
@@ -24,6 +29,7 @@
 	for {
 		c, err := l.Listener.Accept()
 		if err == nil {
+			l.accepted = true
 			return l.tracker.add(c), nil
 		}
 		if !l.tracker.isStopping() {
@@ -33,8 +39,7 @@
 		case errors.Is(err, net.ErrClosed):
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
-		case !l.lastRound && l.setDeadline(lastAccept):
-			l.lastRound = true
+		case l.nextRound():
 			continue
 		}
 		_ = l.Close()
@@ -42,6 +47,16 @@
 	}
 }
 
+// nextRound starts a last round of Accept. It reports false if the one before has accepted nothing.
+func (l *listener) nextRound() bool {
+	if l.lastRounds > 0 && !l.accepted || l.lastRounds == maxLastRounds {
+		return false
+	}
+	l.lastRounds++
+	l.accepted = false
+	return l.setDeadline(lastAccept)
+}
+
 // Close closes the listener.
 func (l *listener) Close() error {
 	err := l.Listener.Close()
--- a/internal/gracefulhttp/tracker_test.go
+++ b/internal/gracefulhttp/tracker_test.go
@@ -41,6 +41,8 @@
 	deadline atomic.Pointer[time.Time]
 	// failures are the errors of the next calls of Accept.
 	failures []error
+	// takes is the time that a connection takes to be accepted.
+	takes time.Duration
 }
 
 func newPipeListener() *pipeListener {
@@ -63,6 +65,7 @@
 		}
 		select {
 		case c := <-l.conns:
+			time.Sleep(l.takes)
 			return c, nil
 		case <-l.closed:
 			return nil, net.ErrClosed
@@ -328,17 +331,21 @@
 	for _, c := range []struct {
 		name     string
 		failures []error
+		conns    int
+		takes    time.Duration
 	}{
-		{"accepted late", nil},
-		{"out of file descriptors", []error{syscall.EMFILE}},
+		{"accepted late", nil, 3, 0},
+		{"out of file descriptors", []error{syscall.EMFILE}, 3, 0},
+		{"accepted slowly", nil, 50, time.Millisecond},
+		{"accepted one by one", nil, 15, 6 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var tracker gracefulhttp.Tracker
 				raw := newPipeListener()
-				raw.failures = c.failures
+				raw.failures, raw.takes = c.failures, c.takes
 				l := tracker.Listener(raw)
-				for range 3 {
+				for range c.conns {
 					_, err := raw.dial()
 					require.NoError(t, err)
 				}
@@ -348,7 +355,7 @@
 					require.ErrorIs(t, err, want)
 				}
 				time.Sleep(100 * time.Millisecond)
-				for range 3 {
+				for range c.conns {
 					accepted, err := l.Accept()
 					require.NoError(t, err)
 					require.NoError(t, accepted.Close())
@@ -361,6 +368,37 @@
 	}
 }
 
+// TestListenerClosesWhileCallersConnect guards against a stop without end because callers go on connecting.
+func TestListenerClosesWhileCallersConnect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var tracker gracefulhttp.Tracker
+		raw := newPipeListener()
+		l := tracker.Listener(raw)
+		var callers errgroup.Group
+		callers.Go(func() error {
+			for {
+				time.Sleep(time.Millisecond)
+				if _, err := raw.dial(); err != nil {
+					return nil
+				}
+			}
+		})
+		began := time.Now()
+		tracker.Stop()
+		for {
+			accepted, err := l.Accept()
+			if err != nil {
+				require.ErrorIs(t, err, net.ErrClosed)
+				break
+			}
+			require.NoError(t, accepted.Close())
+		}
+		require.Equal(t, 120*time.Millisecond, time.Since(began))
+		require.NoError(t, callers.Wait())
+		require.NoError(t, tracker.Wait(t.Context()))
+	})
+}
+
 func TestListenerAfterStopAcceptsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var tracker gracefulhttp.Tracker
