Fix: a stop does not wait for the settings file

A daemon read the settings on the goroutine that handles signals. While a read that SIGHUP had started did not return, as on a disk that hangs, SIGTERM was not handled: the daemon stayed ready, took requests until the end of its grace period, and SIGKILL cut what was in flight.

SIGHUP now only asks the goroutine that polls the settings to read them, so settings are also read by one goroutine at a time. Before, TestStopWhileSettingsAreRead failed: the daemon was still ready 10 s after SIGTERM.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -43,7 +43,9 @@
 	options  Options
 	injector do.Injector
 	settings blackboard.Cell[settings.Entry]
-	board    blackboard.Board
+	// reloads holds a request to read the settings, which may take long.
+	reloads chan struct{}
+	board   blackboard.Board
 
 	sync             *syncComponents
 	forwarder        *forward.Forwarder
@@ -91,7 +93,7 @@
 
 // New returns a daemon that has not been started.
 func New(o Options) (*Daemon, error) {
-	d := &Daemon{options: o, limitAnnouncements: throttle.Limiter{Interval: announceInterval}, holdLogs: throttle.Limiter{Interval: holdLogInterval}}
+	d := &Daemon{options: o, reloads: make(chan struct{}, 1), limitAnnouncements: throttle.Limiter{Interval: announceInterval}, holdLogs: throttle.Limiter{Interval: holdLogInterval}}
 	d.sends.OnPanic = d.panicked
 	d.settings.Set(&o.Settings)
 	d.board.SetPhase(blackboard.Starting{})
@@ -143,7 +145,7 @@
 		if sig != syscall.SIGHUP {
 			break
 		}
-		d.reload("signal")
+		d.requestReload()
 	}
 	d.group.Go(func() error { d.handleFurtherSignals(ctx, signals); return nil })
 	d.drain()
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -61,7 +61,7 @@
 		select {
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
-				d.reload("signal")
+				d.requestReload()
 				continue
 			}
 			events.SecondSignal.Log(d.options.Log, zap.Stringer("signal", sig))
--- a/internal/entry/reload.go
+++ b/internal/entry/reload.go
@@ -14,6 +14,14 @@
 // settingsInterval is how often the settings file is polled for changes that no signal announced.
 const settingsInterval = time.Second
 
+// requestReload makes watchSettings read the settings at once. It never blocks.
+func (d *Daemon) requestReload() {
+	select {
+	case d.reloads <- struct{}{}:
+	default:
+	}
+}
+
 // watchSettings polls the settings and applies changes until ctx ends.
 func (d *Daemon) watchSettings(ctx context.Context) error {
 	ticker := time.NewTicker(settingsInterval)
@@ -22,6 +30,8 @@
 		select {
 		case <-ticker.C:
 			d.reload("file changed")
+		case <-d.reloads:
+			d.reload("signal")
 		case <-ctx.Done():
 			return nil
 		}
