Test how connections end that a stopping server accepts late

With either of the checks removed that end connections accepted after Stop or Abort, or idle again after Stop, all tests passed. A stop would then have waited for them until its end. TestConnectionsAcceptedAfterStopEnd fails in each of these cases.

--- a/internal/gracefulhttp/tracker_test.go
+++ b/internal/gracefulhttp/tracker_test.go
@@ -368,6 +368,42 @@
 	}
 }
 
+// TestConnectionsAcceptedAfterStopEnd guards against a stop that waits for connections on which nothing is sent, or for
+// requests that have been given up, because they were accepted after it had begun.
+func TestConnectionsAcceptedAfterStopEnd(t *testing.T) {
+	const at = 10 * time.Millisecond
+	for _, c := range []struct {
+		name, request string
+		aborted       bool
+		endAt         time.Duration
+	}{
+		{"unused", "", false, at + lingerEnd},
+		{"answered without Connection: close", get, false, at + lingerEnd},
+		{"unused, after Abort", "", true, at},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				synctest.Wait()
+				f.stop()
+				f.stopping.Store(false)
+				if c.aborted {
+					f.tracker.Abort()
+				}
+				f.sleepUntil(at)
+				x := f.dial(t)
+				if c.request != "" {
+					x.send(t, c.request)
+					require.Equal(t, 200, x.receive())
+				}
+				require.Zero(t, x.receive())
+				require.Equal(t, c.endAt, time.Since(f.stopAt))
+				require.NoError(t, f.tracker.Wait(t.Context()))
+			})
+		})
+	}
+}
+
 // TestListenerClosesWhileCallersConnect guards against a stop without end because callers go on connecting.
 func TestListenerClosesWhileCallersConnect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
