--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -35,12 +35,17 @@
 	"github.com/knapweedpoint/knapweedpoint/pkg/settings"
 )
 
+// reasonPanicked is the reason of the answer to a request whose handling panicked.
+const reasonPanicked = "panicked"
+
 // Daemon is one entry daemon.
 type Daemon struct {
 	options  Options
 	injector do.Injector
 	settings blackboard.Cell[settings.Entry]
-	board    blackboard.Board
+	// reloads holds a request to read the settings, which may take long.
+	reloads chan struct{}
+	board   blackboard.Board
 
 	sync             *syncComponents
 	forwarder        *forward.Forwarder
@@ -88,7 +93,7 @@
 
 // New returns a daemon that has not been started.
 func New(o Options) (*Daemon, error) {
-	d := &Daemon{options: o, limitAnnouncements: throttle.Limiter{Interval: announceInterval}, holdLogs: throttle.Limiter{Interval: holdLogInterval}}
+	d := &Daemon{options: o, reloads: make(chan struct{}, 1), limitAnnouncements: throttle.Limiter{Interval: announceInterval}, holdLogs: throttle.Limiter{Interval: holdLogInterval}}
 	d.sends.OnPanic = d.panicked
 	d.settings.Set(&o.Settings)
 	d.board.SetPhase(blackboard.Starting{})
@@ -113,9 +118,11 @@
 // Ready reports whether the daemon accepts new callers: it has a configuration and was not told to stop.
 func (d *Daemon) Ready() bool { return d.State().Configured() && !d.board.IsDraining() }
 
-// Answer answers a request of a caller.
+// Answer answers a request of a caller. If its handling panics, the outcome is unknown.
 func (d *Daemon) Answer(ctx context.Context, q dispatch.CallerRequest) dispatch.Answer {
-	return d.dispatcher.Handle(ctx, q)
+	var a dispatch.Answer = dispatch.Lost{Reason: reasonPanicked}
+	workers.Protect(func() { a = d.dispatcher.Handle(ctx, q) }, d.panicked)
+	return a
 }
 
 // Run serves until a signal to stop arrives and the requests in flight have ended. A SIGHUP reloads the settings.
@@ -138,7 +145,7 @@
 		if sig != syscall.SIGHUP {
 			break
 		}
-		d.reload("signal")
+		d.requestReload()
 	}
 	d.group.Go(func() error { d.handleFurtherSignals(ctx, signals); return nil })
 	d.drain()
