Stop: count the grace period from a signal that came during a stall

What callers saw: the connections of all requests in flight were closed without an answer when SIGTERM came while a daemon got no processor time.

Cause: the daemon counted its grace period from the moment at which it handled the signal. The platform counts it from the sending, so that after a stall of some tenths of the grace period SIGKILL came before the answers.

Without a stall nothing changes.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/platformstate"
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
 	"github.com/knapweedpoint/knapweedpoint/internal/stallhint"
+	"github.com/knapweedpoint/knapweedpoint/internal/stopsignal"
 	"github.com/knapweedpoint/knapweedpoint/internal/storesync"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetlimit"
 	"github.com/knapweedpoint/knapweedpoint/internal/throttle"
@@ -134,14 +135,13 @@
 	d.group.Go(func() error { d.housekeeper.Run(ctx); return nil })
 	d.group.Go(func() error { return d.watchSettings(ctx) })
 	d.board.SetPhase(blackboard.Serving{})
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
-		}
+	receiver := stopsignal.Receiver{Signals: signals}
+	sig, arrived := receiver.Receive()
+	for ; sig == syscall.SIGHUP; sig, arrived = receiver.Receive() {
 		d.reload("signal")
 	}
 	d.group.Go(func() error { d.handleFurtherSignals(ctx, signals); return nil })
-	d.drain()
+	d.drain(arrived)
 	cancel()
 	_ = d.sync.conn.Close()
 	err := d.group.Wait()
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -14,13 +14,15 @@
 )
 
 // drain fails the readiness checks, serves until the load balancer has detected it, and answers what was taken before
-// it returns.
-func (d *Daemon) drain() {
+// it returns. The signal to stop may have arrived at the given time; at most half of the grace period is taken to have
+// passed.
+func (d *Daemon) drain(arrived time.Time) {
 	period := &d.dispatcher.Grace
 	length := d.Settings().Rules.Grace.Std()
-	events.DrainStarted.Log(d.options.Log, zap.Duration("grace", length))
+	late := min(time.Since(arrived), length/2)
+	events.DrainStarted.Log(d.options.Log, zap.Duration("grace", length), zap.Duration("late", late))
 	d.callers.Drain()
-	period.Begin(time.Now(), length)
+	period.Begin(time.Now().Add(-late), length)
 	d.board.SetPhase(blackboard.Draining{})
 	d.aggregator.Drain(period.AbandonAt())
 	d.sync.gossiper.Leave()
--- /dev/null
+++ b/internal/stopsignal/doc.go
@@ -0,0 +1,2 @@
+// Package stopsignal receives signals and estimates when they arrived.
+package stopsignal
