Process tests compile the programs once

What was seen: with a load of about 100 on 8 processors, the package did not end in 390 s; another run was ended after 373 s. Each of its 16 tests compiled and linked all programs. go test ends a package after 10 minutes.

--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -37,7 +37,6 @@
 type fleet struct {
 	t         *testing.T
 	dir       string
-	bin       string
 	platform  string
 	daemons   []*daemon
 	targets   map[string]string
@@ -63,12 +62,24 @@
 	name, callers, operators, zone string
 }
 
-func build(t *testing.T) string {
-	t.Helper()
-	bin := t.TempDir()
-	out, err := exec.Command("go", "build", "-o", bin, "../../cmd/...").CombinedOutput()
-	require.NoError(t, err, string(out))
-	return bin
+// bin is the directory of the compiled programs.
+var bin string
+
+// TestMain compiles the programs once for all tests.
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	var err error
+	if bin, err = os.MkdirTemp("", "process"); err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(bin) }()
+	if out, err := exec.Command("go", "build", "-o", bin, "../../cmd/...").CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%v: %s", err, out))
+	}
+	return m.Run()
 }
 
 func startFleet(t *testing.T, warm bool) *fleet {
@@ -79,12 +90,12 @@
 // startFleetWith starts a fleet with changed settings of its daemons.
 func startFleetWith(t *testing.T, warm bool, change func(settings.Daemon) settings.Daemon) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir(), bin: build(t), targets: map[string]string{}, processes: map[string]*process{}}
+	f := &fleet{t: t, dir: t.TempDir(), targets: map[string]string{}, processes: map[string]*process{}}
 	network, err := loopback.Reserve()
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, network.Close()) })
 	t.Cleanup(f.stop)
-	out, err := exec.Command(filepath.Join(f.bin, "standin"), "layout", "--dir", f.dir, "--host", network.Host(0)).CombinedOutput()
+	out, err := exec.Command(filepath.Join(bin, "standin"), "layout", "--dir", f.dir, "--host", network.Host(0)).CombinedOutput()
 	require.NoError(t, err, string(out))
 	f.platform = strings.TrimSpace(f.read("platform.txt"))
 	f.start("platform", "standin", "platform", "--listen", f.platform, "--tree", f.path("tree.json"), "--vms", f.path("vms.json"))
@@ -142,7 +153,7 @@
 func (f *fleet) start(name, program string, args ...string) {
 	out, err := os.Create(f.path(name + ".out"))
 	require.NoError(f.t, err)
-	c := exec.Command(filepath.Join(f.bin, program), args...)
+	c := exec.Command(filepath.Join(bin, program), args...)
 	c.Stdout, c.Stderr = out, out
 	require.NoError(f.t, c.Start())
 	p := &process{command: c, ended: make(chan struct{})}
