A network stays reserved while a process of its fleet runs

What was seen: in each of two runs of platform/command a daemon ended with 'listen udp4 127.119.1.2:7005: bind: address already in use' (the second time 127.162.1.2), and its test failed: TestRateLimitOfATargetHoldsOverAllDaemons with status 503, TestNoticeEndsWithItsIncarnation without the notice.

Cause: 127.162.1.2:7005 belonged to a daemon of a soak that had been killed 19 minutes before. Its six daemons outlived it, and the reservation ended with the soak. 127.119.1.2 was not looked up in time.

Fix: processes inherit the reservation's socket, so that a network is free only once its last process has ended.

--- a/internal/loopback/network_test.go
+++ b/internal/loopback/network_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"net"
+	"os"
+	"os/exec"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -43,3 +46,27 @@
 		require.NoError(t, l.Close())
 	}
 }
+
+// Guards against a fleet that gets the addresses of processes which outlived the test that started them.
+func TestNetworkStaysReservedForProcesses(t *testing.T) {
+	n, err := loopback.Reserve()
+	require.NoError(t, err)
+	f, err := n.File()
+	require.NoError(t, err)
+	process := exec.Command("cat")
+	process.ExtraFiles = []*os.File{f}
+	input, err := process.StdinPipe()
+	require.NoError(t, err)
+	require.NoError(t, process.Start())
+	require.NoError(t, f.Close())
+	require.NoError(t, n.Close())
+	host := net.ParseIP(n.Host(0)).To4()
+	reservation := net.JoinHostPort(net.IPv4(host[0], host[1], 0, 1).String(), "7001")
+	_, err = net.Listen("tcp4", reservation)
+	require.ErrorIs(t, err, syscall.EADDRINUSE)
+	require.NoError(t, input.Close())
+	require.NoError(t, process.Wait())
+	l, err := net.Listen("tcp4", reservation)
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+}
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -36,6 +36,7 @@
 // fleet is a small deployment that runs in processes of its own.
 type fleet struct {
 	t         *testing.T
+	network   *loopback.Network
 	dir       string
 	platform  string
 	daemons   []*daemon
@@ -91,11 +92,12 @@
 func startFleetWith(t *testing.T, warm bool, change func(settings.Daemon) settings.Daemon) *fleet {
 	t.Helper()
 	f := &fleet{t: t, dir: t.TempDir(), targets: map[string]string{}, processes: map[string]*process{}}
-	network, err := loopback.Reserve()
+	var err error
+	f.network, err = loopback.Reserve()
 	require.NoError(t, err)
-	t.Cleanup(func() { require.NoError(t, network.Close()) })
+	t.Cleanup(func() { require.NoError(t, f.network.Close()) })
 	t.Cleanup(f.stop)
-	out, err := exec.Command(filepath.Join(bin, "standin"), "layout", "--dir", f.dir, "--host", network.Host(0)).CombinedOutput()
+	out, err := exec.Command(filepath.Join(bin, "standin"), "layout", "--dir", f.dir, "--host", f.network.Host(0)).CombinedOutput()
 	require.NoError(t, err, string(out))
 	f.platform = strings.TrimSpace(f.read("platform.txt"))
 	f.start("platform", "standin", "platform", "--listen", f.platform, "--tree", f.path("tree.json"), "--vms", f.path("vms.json"))
@@ -155,7 +157,11 @@
 	require.NoError(f.t, err)
 	c := exec.Command(filepath.Join(bin, program), args...)
 	c.Stdout, c.Stderr = out, out
+	reservation, err := f.network.File()
+	require.NoError(f.t, err)
+	c.ExtraFiles = []*os.File{reservation}
 	require.NoError(f.t, c.Start())
+	require.NoError(f.t, reservation.Close())
 	p := &process{command: c, ended: make(chan struct{})}
 	f.processes[name] = p
 	f.group.Go(func() {
