Fix: slow callers of a stopping daemon don't delay what other daemons are told

A stopping daemon tells other daemons which shards of their searches it could not finish, at 0.875 of the grace period. It did so only after its own callers had gone, so one caller that read its answer slowly, or had sent half a body, which keeps its connection for another 500 ms, moved that to 0.95 and the last wait. With a grace period of 2 s this is after SIGKILL, and nobody was told.

The time is now set when the daemon begins to drain. The new case of TestSearchesOutliveAStoppingAggregator failed before: the search ended 7.0 s after the stop began instead of 5.0 s.

--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -127,11 +127,12 @@
 }
 
 // Drain makes the aggregator refuse the calls of other daemons that may last until exitAt, when this daemon exits at the
-// latest.
+// latest. At that time it reports the shards of their calls that have no result as lost.
 func (a *Aggregator) Drain(exitAt time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.exitAt = exitAt
+	time.AfterFunc(time.Until(exitAt), func() { a.giveUp(func(k key) bool { return k.requester != a.Name }) })
 }
 
 // Shutdown refuses all further calls and waits until those in progress have ended and their replies have arrived. When
@@ -140,7 +141,7 @@
 	a.mu.Lock()
 	a.closed = true
 	a.mu.Unlock()
-	stop := context.AfterFunc(ctx, a.giveUp)
+	stop := context.AfterFunc(ctx, func() { a.giveUp(func(key) bool { return true }) })
 	a.running.Wait()
 	ended := stop()
 	if a.Len() > 0 {
@@ -152,12 +153,14 @@
 	return ctx.Err()
 }
 
-// giveUp ends all calls in progress.
-func (a *Aggregator) giveUp() {
+// giveUp ends the selected calls in progress.
+func (a *Aggregator) giveUp(selected func(key) bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, c := range a.calls {
-		c.giveUp()
+	for k, c := range a.calls {
+		if selected(k) {
+			c.giveUp()
+		}
 	}
 }
 
--- a/internal/aggregatorclient/stop_test.go
+++ b/internal/aggregatorclient/stop_test.go
@@ -20,7 +20,7 @@
 )
 
 // stop stops a daemon as an entry daemon stops on SIGTERM, and drops all messages from and to it afterwards.
-func (f *fleet) stop(name string) {
+func (f *fleet) stop(name string, callersDone time.Duration) {
 	a := f.aggregators[name]
 	ctx, cancel := context.WithTimeout(context.Background(), exitAt)
 	defer cancel()
@@ -40,14 +40,17 @@
 		// sentAfter is when the search is sent after the stop began, and work the time that the targets of the stopping
 		// aggregator need.
 		sentAfter, work time.Duration
-		want            string
+		// callersDone is when the stopping aggregator has no callers any more.
+		callersDone time.Duration
+		want        string
 		// ends is when the search ends at the latest, apart from the messages. Silence is noticed after half of the
 		// objective at the earliest.
 		ends time.Duration
 	}{
-		{"targets answer before the exit", -30 * time.Millisecond, 3 * time.Second, "done", 3 * time.Second},
-		{"targets answer after the exit", -30 * time.Millisecond, time.Hour, "failed", exitAt + 30*time.Millisecond},
-		{"sent after the stop began", 100 * time.Millisecond, 2 * time.Second, "done", 2 * time.Second},
+		{"targets answer before the exit", -30 * time.Millisecond, 3 * time.Second, callersDone, "done", 3 * time.Second},
+		{"targets answer after the exit", -30 * time.Millisecond, time.Hour, callersDone, "failed", exitAt + 30*time.Millisecond},
+		{"its callers are slow", -30 * time.Millisecond, time.Hour, exitAt + 2*time.Second, "failed", exitAt + 30*time.Millisecond},
+		{"sent after the stop began", 100 * time.Millisecond, 2 * time.Second, callersDone, "done", 2 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -60,12 +63,12 @@
 				slow = lo.Filter(shardNames(), func(s string, _ int) bool { return f.firstAggregator(s, requester) == stopping })
 				f.group.Go(func() error {
 					time.Sleep(max(-c.sentAfter, 0))
-					f.stop(stopping)
+					f.stop(stopping, c.callersDone)
 					return nil
 				})
 				time.Sleep(max(c.sentAfter, 0))
 				out, _, elapsed := f.searchWithin(context.Background(), requester, 10*time.Second)
-				time.Sleep(exitAt)
+				time.Sleep(2 * exitAt)
 				f.close()
 				require.Equal(t, c.want, out.Label(), "after %s", elapsed)
 				require.Less(t, elapsed, c.ends+objective/2)
