Fix: a stopping daemon of `serve` waits for work that arrives last

A stopping daemon waited until it had no work, and only then closed its interface for peers. Work that came in between, or on a connection that was being closed, was acknowledged and passed on to its target, and the daemon exited without waiting for the result: the daemon that had sent it, whose caller waits until its deadline, was told nothing.

It now waits again once its peers' connections have ended. Before, TestStopWaitsForWorkThatArrivesLast failed: the daemon exited while a booking of another daemon was in flight.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -178,7 +178,9 @@
 	time.Sleep(time.Until(acceptUntil))
 	err := callers.stop(ctx, answerBy)
 	err = errors.Join(err, d.waitUntilIdle(ctx, d.node.Idle))
-	err = errors.Join(err, peers.stop(ctx, end), d.waitUntilIdle(ctx, d.node.Outboxes.Idle), operators.stop(ctx, end))
+	// Until its end, the interface for peers accepts work.
+	err = errors.Join(err, peers.stop(ctx, end), d.waitUntilIdle(ctx, d.node.Idle))
+	err = errors.Join(err, d.waitUntilIdle(ctx, d.node.Outboxes.Idle), operators.stop(ctx, end))
 	if err != nil {
 		events.DrainOverdue.Log(d.log, zap.Error(err))
 	}
