Answers to cancelled calls are heard

The VM was scheduled late: its searches ended 200 ms after their objective, with calls to these targets 530 to 550 ms under way, and cancelled these. The cancellation set the deadline of the connections to the past, and a read under such a deadline fails even if the answer has arrived. So four answers of two leaving targets were not heard. The same loses a hold.

Its answer is handed to the gate and used for nothing else: the selector ends the call when it is cancelled, so that the wait makes no target unresponsive, and the callbacks for results skip it as before. Nothing waits for such calls, and there are no more of them than there were calls in flight.

TestAnswerToACancelledCallIsObserved guards the selector: without the change in forward, a call that was cancelled after 299 ms ejected its target when its sender returned 50 ms later.

--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -246,3 +246,35 @@
 		x.close()
 	})
 }
+
+// lateSender returns the result of a call that was cancelled only after a delay.
+type lateSender struct {
+	result targetcall.Result
+	delay  time.Duration
+}
+
+// Send waits until the call is cancelled, and longer by the delay.
+func (s lateSender) Send(ctx context.Context, _ targetcall.Call) targetcall.Result {
+	<-ctx.Done()
+	time.Sleep(s.delay)
+	return s.result
+}
+
+// Guards against a hold that is not noticed because the answer arrived after the caller had left, and against a target
+// that is taken for unresponsive because of the wait for that answer.
+func TestAnswerToACancelledCallIsObserved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newFixture(nil, "a")
+		x.forwarder.Sender = lateSender{result: asksForHold(60).Result, delay: 50 * time.Millisecond}
+		ctx, cancel := context.WithTimeout(t.Context(), 299*time.Millisecond)
+		defer cancel()
+		out, _ := x.forwarder.Run(ctx, job(true))
+		require.Equal(t, forward.ReasonCallerGone, out.(forward.Lost).Reason)
+		time.Sleep(100 * time.Millisecond)
+		target, _ := x.inventory.Target("a")
+		require.False(t, x.forwarder.Selector.Ejected(target, time.Now()))
+		_, holds := x.forwarder.HoldWait("s")
+		require.True(t, holds)
+		x.close()
+	})
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -182,14 +182,18 @@
 		Withdrawn: func() bool { return f.Gate.Withdrawn(t, time.Now()) },
 	}
 	results := r.batch.results
+	// The sender may wait a little for the answer to a cancelled call. Only its notices count.
+	stop := context.AfterFunc(ctx, func() { fl.pending.End(targetcall.Unknown{Err: ctx.Err()}, true, time.Now()) })
 	f.Workers.Go(func() {
 		result := f.Sender.Send(ctx, call)
-		cancelled := ctx.Err() != nil
+		cancelled := !stop()
 		notice := f.Gate.Observe(t, result, now, time.Now())
 		if f.OnNotice != nil {
 			f.OnNotice(t, notice)
 		}
-		fl.pending.End(result, cancelled, time.Now())
+		if !cancelled {
+			fl.pending.End(result, false, time.Now())
+		}
 		if f.OnResult != nil && !cancelled {
 			f.OnResult(call.Request, t, result, now)
 		}
