Fix: an ended call that arrives again late isn't run a second time

The aggregator answered the call in 19 ms and ran it again 3 s later: the daemon that received the search had sent the call once more because the reply was late, and the datagram waited in the socket while the aggregator wasn't scheduled (it then took a member for dead that had been silent for 2.5 s). By then the call was no longer retained, so it counted as new. Its cancellation was behind it in the socket.

An aggregator now remembers ended calls by their ids, as it does calls that were cancelled before they arrived: the latest 4096 to 8192 of both together. A call that arrives again after its retention is dropped; the daemon that sent it stopped waiting long before.

Before, the new case of TestHandleCallByAggregatorState saw a second send after 3 s.

--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -41,8 +41,9 @@
 
 	mu    sync.Mutex
 	calls map[key]*call
-	// cancelled holds the calls that were cancelled before they arrived.
-	cancelled map[key]struct{}
+	// unwanted holds the latest calls that are not run when they arrive: those that were cancelled before, and those that
+	// have ended and are no longer retained. When it is full, it becomes formerlyUnwanted, and that is dropped.
+	unwanted, formerlyUnwanted map[key]struct{}
 	// exitAt is when a draining daemon exits at the latest; it is zero until Drain. closed is set by Shutdown.
 	exitAt time.Time
 	closed bool
@@ -64,7 +65,7 @@
 		c.resend()
 		return
 	}
-	if a.wasCancelled(k) {
+	if a.isUnwanted(k) {
 		return
 	}
 	if malformed(m) || !a.Ready() {
@@ -120,10 +121,13 @@
 	return true
 }
 
+// remove ends the retention of a call. If the call arrives again, its datagram has waited for longer, because this
+// daemon was not scheduled.
 func (a *Aggregator) remove(k key) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.calls, k)
+	a.markUnwanted(k)
 }
 
 // Drain makes the aggregator refuse the calls of other daemons that may last until exitAt, when this daemon exits at the
@@ -170,10 +174,15 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.cancelled == nil || len(a.cancelled) >= maxCalls {
-		a.cancelled = map[key]struct{}{}
+	a.markUnwanted(k)
+}
+
+// markUnwanted records that a call is not run when it arrives. The caller must hold mu.
+func (a *Aggregator) markUnwanted(k key) {
+	if a.unwanted == nil || len(a.unwanted) >= maxCalls {
+		a.unwanted, a.formerlyUnwanted = map[key]struct{}{}, a.unwanted
 	}
-	a.cancelled[k] = struct{}{}
+	a.unwanted[k] = struct{}{}
 }
 
 // Grant gives a call its hedge grant.
@@ -183,11 +192,12 @@
 	}
 }
 
-func (a *Aggregator) wasCancelled(k key) bool {
+func (a *Aggregator) isUnwanted(k key) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	_, ok := a.cancelled[k]
-	return ok
+	_, ok := a.unwanted[k]
+	_, formerly := a.formerlyUnwanted[k]
+	return ok || formerly
 }
 
 // Len returns the number of calls that are in progress or retained.
--- a/internal/aggregator/aggregator_test.go
+++ b/internal/aggregator/aggregator_test.go
@@ -60,6 +60,12 @@
 		{"the call arrived before", true, func(a *aggregator.Aggregator, reply func(*gossippb.PartsReply)) { a.HandleCall("vm1", call(1), reply) }, false, 1},
 		{"another daemon's call has the same id", true, func(a *aggregator.Aggregator, reply func(*gossippb.PartsReply)) { a.HandleCall("vm2", call(1), reply) }, false, 2},
 		{"the call was cancelled before it arrived", true, func(a *aggregator.Aggregator, _ func(*gossippb.PartsReply)) { a.Cancel("vm1", 1) }, false, 0},
+		// Guards against a call that is sent again, waits in the socket of a daemon that is frozen, and runs a second time, on
+		// more targets than the route allows.
+		{"the call arrived before, ended and is no longer retained", true, func(a *aggregator.Aggregator, reply func(*gossippb.PartsReply)) {
+			a.HandleCall("vm1", call(1), reply)
+			time.Sleep(3 * time.Second)
+		}, false, 1},
 		{"drains, the call ends before the exit", true, drain(800 * time.Millisecond), false, 1},
 		{"drains, the call may last longer", true, drain(799 * time.Millisecond), true, 0},
 		{"drains, the call is its own", true, func(a *aggregator.Aggregator, reply func(*gossippb.PartsReply)) {
