--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -114,6 +114,28 @@
 	})
 }
 
+// Guards against a target that is ejected, or used less than others, after holds that it asked for.
+func TestHoldIsNoFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asks := true
+		x := newFixture(func(string, int) scriptedtarget.Behaviour {
+			return lo.Ternary(asks, asksForHold(0.1), scriptedtarget.Behaviour{Delay: 5 * time.Millisecond})
+		}, "a")
+		target, _ := x.inventory.Target("a")
+		for range 20 {
+			out, _ := x.forwarder.Run(context.Background(), job(true))
+			require.Equal(t, forward.ReasonTargetsHoldOff, out.(forward.NotRun).Reason)
+			require.False(t, x.forwarder.Selector.Ejected(target, time.Now()))
+			time.Sleep(out.(forward.NotRun).RetryAfter)
+		}
+		require.Len(t, x.sender.Calls(), 20)
+		asks = false
+		out, _ := x.forwarder.Run(context.Background(), job(true))
+		require.Equal(t, "done", out.Label())
+		x.close()
+	})
+}
+
 // Guards against callers that are held, or told a time at which no target takes them, while all targets of a service
 // have asked for a hold.
 func TestAllTargetsHold(t *testing.T) {
