Stop: cut nothing earlier because the signal may have come late

A daemon that dates its signal back to a stall answers earlier, which is right whenever the signal came, but it also exited earlier. Where the stall had ended before the signal, that cut requests that the daemon could still have answered. That daemon's log was not kept, so the cause is found by reading only.

Now the answers count from the earliest time at which the signal may have come, and the exit, which cuts what has no answer, from its handling. The daemon still exits as soon as all connections have ended, so in a stop without a stall nothing changes (TestLateStopAnswersEarlyAndExitsLate).

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -22,7 +22,7 @@
 	late := min(time.Since(arrived), length/2)
 	events.DrainStarted.Log(d.options.Log, zap.Duration("grace", length), zap.Duration("late", late))
 	d.callers.Drain()
-	period.Begin(time.Now().Add(-late), length)
+	period.Begin(time.Now().Add(-late), late, length)
 	d.board.SetPhase(blackboard.Draining{})
 	d.aggregator.Drain(period.AbandonAt())
 	d.sync.gossiper.Leave()
--- a/internal/grace/period.go
+++ b/internal/grace/period.go
@@ -33,16 +33,20 @@
 	begun  bool
 	start  time.Time
 	length time.Duration
+	// late is how long after the start the signal was handled.
+	late time.Duration
 }
 
-// Begin starts the period at the given time, which is when the signal to stop arrived. Further calls do nothing.
-func (p *Period) Begin(start time.Time, length time.Duration) {
+// Begin starts the period at the given time, at which the signal to stop may have arrived at the earliest. It was handled
+// late by the given time: answers count from the earliest arrival, and the exit, which cuts what has no answer, from the
+// latest. Further calls do nothing.
+func (p *Period) Begin(start time.Time, late, length time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.begun {
 		return
 	}
-	p.begun, p.start, p.length = true, start, length
+	p.begun, p.start, p.late, p.length = true, start, late, length
 	p.limit.Set(p.at(takeShare), p.at(answerShare))
 }
 
@@ -65,7 +69,11 @@
 func (p *Period) AbandonAt() time.Time { return p.when(abandonShare) }
 
 // ExitAt returns when the daemon exits.
-func (p *Period) ExitAt() time.Time { return p.when(exitShare) }
+func (p *Period) ExitAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.at(exitShare).Add(p.late)
+}
 
 func (p *Period) when(share float64) time.Time {
 	p.mu.Lock()
--- a/internal/grace/period_test.go
+++ b/internal/grace/period_test.go
@@ -39,7 +39,7 @@
 			deadline, ok := p.Admit(start.Add(c.now), start.Add(c.deadline))
 			require.True(t, ok, "not begun")
 			require.Equal(t, start.Add(c.deadline), deadline, "not begun")
-			p.Begin(start, length)
+			p.Begin(start, 0, length)
 			deadline, ok = p.Admit(start.Add(c.now), start.Add(c.deadline))
 			require.Equal(t, !c.refused, ok)
 			require.Equal(t, c.want, deadline.Sub(start))
@@ -52,16 +52,29 @@
 	start := time.Now()
 	_, ok := p.Admit(start.Add(length), start.Add(2*length))
 	require.True(t, ok)
-	p.Begin(start, length)
+	p.Begin(start, 0, length)
 	_, ok = p.Admit(start.Add(length), start.Add(2*length))
 	require.False(t, ok)
-	p.Begin(start.Add(time.Second), 2*length)
+	p.Begin(start.Add(time.Second), 0, 2*length)
 	require.Equal(t, 3720*time.Millisecond, p.CloseAt().Sub(start), "a second signal does not prolong the period")
 	require.True(t, p.CloseAt().Before(p.AbandonAt()))
 	require.True(t, p.AbandonAt().Before(p.ExitAt()))
 	require.True(t, p.ExitAt().Before(start.Add(length)))
 }
 
+// TestLateStopAnswersEarlyAndExitsLate guards against a daemon that handled its signal late, or only seemed to, and that cuts
+// requests before it has had the usual time to answer them.
+func TestLateStopAnswersEarlyAndExitsLate(t *testing.T) {
+	const late = 2 * time.Second
+	var p, punctual grace.Period
+	start := time.Now()
+	p.Begin(start, late, length)
+	punctual.Begin(start, 0, length)
+	require.Equal(t, punctual.CloseAt(), p.CloseAt())
+	require.Equal(t, punctual.AbandonAt(), p.AbandonAt())
+	require.Equal(t, punctual.ExitAt().Add(late), p.ExitAt())
+}
+
 // TestAnswersAreDueBeforeTheExit guards against requests that are still in flight when the daemon exits, whenever they
 // began.
 func TestAnswersAreDueBeforeTheExit(t *testing.T) {
@@ -89,7 +102,7 @@
 				if c.goneAt > 0 {
 					time.AfterFunc(time.Until(start.Add(c.goneAt)), leave)
 				}
-				time.AfterFunc(time.Until(start), func() { p.Begin(time.Now(), c.length) })
+				time.AfterFunc(time.Until(start), func() { p.Begin(time.Now(), 0, c.length) })
 				time.Sleep(time.Until(start.Add(c.boundAt)))
 				ctx, release := p.Bind(caller)
 				defer release()
@@ -111,7 +124,7 @@
 		require.NoError(t, ctx.Err())
 		release()
 		require.ErrorIs(t, ctx.Err(), context.Canceled)
-		p.Begin(time.Now(), length)
+		p.Begin(time.Now(), 0, length)
 		time.Sleep(length)
 		require.False(t, stoplimit.Reached(ctx))
 	})
