serve: count a stop from a signal that came during a stall

TestStopCountsFromASignalDuringAStall freezes a daemon from before the SIGTERM until 0.3 of its stop and kills it at the stop's end. Before, a connection ended without an answer; now all 21 requests get one.

The answers count from the beginning of the stall, by at most half of the stop, and what is left is cut as late as without it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/membership"
 	"github.com/knapweedpoint/knapweedpoint/internal/node"
 	"github.com/knapweedpoint/knapweedpoint/internal/platformwatch"
+	"github.com/knapweedpoint/knapweedpoint/internal/stopsignal"
 	"github.com/knapweedpoint/knapweedpoint/pkg/settings"
 )
 
@@ -70,9 +71,10 @@
 	d.group.Go(func() error { d.fetchFromPeers(ctx); watcher.WatchTree(ctx); return nil })
 	d.group.Go(func() error { sender.Run(ctx); return nil })
 	d.group.Go(func() error { d.becomeReady(ctx); return nil })
-	<-signals
+	receiver := stopsignal.Receiver{Signals: signals}
+	_, arrived := receiver.Receive()
 	d.group.Go(func() error { d.logSignals(ctx, signals); return nil })
-	d.drain()
+	d.drain(arrived)
 	cancel()
 	err := d.group.Wait()
 	do.MustInvoke[*meter](d.injector).close()
@@ -158,23 +160,26 @@
 }
 
 // drain fails the readiness check and accepts every request for the time that the load balancer needs to notice. After that it
-// accepts requests that can end in time, answers all shortly before the drain limit, and stops listening.
-func (d *Daemon) drain() {
-	acceptUntil := time.Now().Add(max(d.settings.BalancerDelay.Std(), drainNotifyDelay))
-	drainLimit := d.settings.DrainLimit.Std()
+// accepts requests that can end in time, answers all shortly before the drain limit, and stops listening. The signal to stop may
+// have arrived at the given time; at most half of the time for the stop is taken to have passed.
+func (d *Daemon) drain(arrived time.Time) {
+	delay, drainLimit := max(d.settings.BalancerDelay.Std(), drainNotifyDelay), d.settings.DrainLimit.Std()
+	late := min(time.Since(arrived), (delay+drainLimit)/2)
+	acceptUntil := time.Now().Add(delay - late)
 	end := acceptUntil.Add(drainLimit)
 	margin := min(answerTime, drainLimit/answerDivisor)
 	answerBy := end.Add(-margin)
 	callers, operators, peers := d.servers[2], d.servers[1], d.servers[0]
 	callers.closing.Store(true)
 	d.node.Root.Stop.Set(acceptUntil, answerBy)
-	events.DrainStarted.Log(d.log)
+	events.DrainStarted.Log(d.log, zap.Duration("late", late))
 	d.node.Drain()
 	do.MustInvoke[*heartbeat.Sender](d.injector).Send()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	// A process that got no processor time until the end still has time to write the answers.
-	time.AfterFunc(time.Until(answerBy), func() { time.AfterFunc(margin, cancel) })
+	// A process that got no processor time until the end still has time to write the answers, and one whose signal was not
+	// late has the usual time.
+	time.AfterFunc(time.Until(answerBy), func() { time.AfterFunc(margin+late, cancel) })
 	time.Sleep(time.Until(acceptUntil))
 	err := callers.stop(ctx, answerBy)
 	err = errors.Join(err, d.waitUntilIdle(ctx, d.node.Idle))
--- a/internal/process/stop_test.go
+++ b/internal/process/stop_test.go
@@ -168,6 +168,35 @@
 	require.NoError(t, f.processes[d.name].Wait())
 }
 
+// Guards against requests that are cut by SIGKILL because the process had no processor time when the signal to stop came, and
+// counted its stop from the end of the stall.
+func TestStopCountsFromASignalDuringAStall(t *testing.T) {
+	f := startStoppingFleet(t)
+	f.setFaults(faketarget.Faults{Frozen: true})
+	d := f.daemons[0]
+	var connections []*connection
+	for i := range 20 {
+		c := f.connect(d)
+		c.write(request("lookup", "jobCards", fmt.Sprint("stalled-", i), longDeadline))
+		connections = append(connections, c)
+	}
+	booking := f.connect(d)
+	booking.write(request("booking", "grants", "stalled", longDeadline))
+	f.eventually(func() bool { return f.runs("stalled") == 1 }, "the booking has reached its target")
+	connections = append(connections, booking)
+	f.signal(d.name, syscall.SIGSTOP)
+	time.Sleep(drainLimit / 20)
+	f.signal(d.name, syscall.SIGTERM)
+	kill := time.AfterFunc(balancerDelay+drainLimit, func() { _ = f.processes[d.name].Process.Kill() })
+	defer kill.Stop()
+	time.Sleep((balancerDelay + drainLimit) * 3 / 10)
+	f.signal(d.name, syscall.SIGCONT)
+	for _, c := range connections {
+		require.NotEqual(t, "done", c.read().Outcome)
+	}
+	require.NoError(t, f.processes[d.name].Wait())
+}
+
 // Guards against false answers about bookings, and a stop without end, while a peer that relays them is frozen.
 func TestStopBesideAFrozenPeerIsTruthful(t *testing.T) {
 	f := startStoppingFleet(t)
