--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossip"
 	"github.com/knapweedpoint/knapweedpoint/internal/issuertable"
+	"github.com/knapweedpoint/knapweedpoint/internal/noticelog"
 	"github.com/knapweedpoint/knapweedpoint/internal/permitclient"
 	"github.com/knapweedpoint/knapweedpoint/internal/permitissuer"
 	"github.com/knapweedpoint/knapweedpoint/internal/platformstate"
@@ -67,8 +68,7 @@
 	oversized throttle.Limiter
 	// unreadableLimits limits how often rejected rate limits of a target are logged.
 	unreadableLimits throttle.Limiter
-	// holdLogs limits how often the pauses of a target are logged.
-	holdLogs throttle.Limiter
+	notices          noticelog.Logger
 	// limitAnnouncements limits how often the rate limit of a target is announced to peers.
 	limitAnnouncements throttle.Limiter
 
@@ -88,7 +88,7 @@
 
 // New returns a daemon that has not been started.
 func New(o Options) (*Daemon, error) {
-	d := &Daemon{options: o, limitAnnouncements: throttle.Limiter{Interval: announceInterval}, holdLogs: throttle.Limiter{Interval: holdLogInterval}}
+	d := &Daemon{options: o, limitAnnouncements: throttle.Limiter{Interval: announceInterval}}
 	d.sends.OnPanic = d.panicked
 	d.settings.Set(&o.Settings)
 	d.board.SetPhase(blackboard.Starting{})
--- /dev/null
+++ b/internal/noticelog/doc.go
@@ -0,0 +1,2 @@
+// Package noticelog logs what targets announce about further work.
+package noticelog
--- a/internal/targetnotice/observation.go
+++ b/internal/targetnotice/observation.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Observation is the effect of an answer on a register: Unchanged, LeavingBegun, LeavingRevoked, HoldBegun,
-// HoldExtended, HoldEnded or Rejected.
+// HoldExtended, HoldEnded, Replaced or Rejected.
 type Observation interface{ observation() }
 
 // Unchanged means that the answer changes nothing.
@@ -24,6 +24,9 @@
 // HoldEnded means that the target has answered again after its hold.
 type HoldEnded struct{}
 
+// Replaced means that another incarnation has answered, which the notices of the earlier one do not bind.
+type Replaced struct{}
+
 // Rejected means that the hold that the target asked for is unreadable and was ignored.
 type Rejected struct{ Text string }
 
@@ -33,4 +36,5 @@
 func (HoldBegun) observation()      {}
 func (HoldExtended) observation()   {}
 func (HoldEnded) observation()      {}
+func (Replaced) observation()       {}
 func (Rejected) observation()       {}
--- a/internal/targetnotice/register.go
+++ b/internal/targetnotice/register.go
@@ -16,9 +16,9 @@
 	// probeInterval is the minimum time between two sends to a target that has not answered since its hold: several
 	// times what a call takes, and short enough that a lost answer does not keep the target unused for a second.
 	probeInterval = 100 * time.Millisecond
-	// absentRetention is how long the notices of an incarnation outlast its entry: longer than outages and rewinds of
+	// AbsentRetention is how long the notices of an incarnation outlast its entry: longer than outages and rewinds of
 	// the store, after which an outdated entry may be published again.
-	absentRetention = time.Hour
+	AbsentRetention = time.Hour
 	// revocationDelay is how long an entry has to say ready before it revokes the draining of an earlier entry of the
 	// same incarnation: longer than a leaving target runs on, and than an outdated entry stays published if its target
 	// does not renew it.
@@ -58,16 +58,15 @@
 		return Rejected{Text: x.Text}
 	case targetcall.RetryDelay:
 		if x.Seconds > 0 {
-			seconds := min(x.Seconds, maxHold.Seconds())
-			return r.record(t).hold(now.Add(time.Duration(seconds * float64(time.Second))))
+			return r.record(t).Hold(x.Seconds, now)
 		}
 	}
 	rec := r.find(t.ID, func(rec *record) bool { return rec.describes(t) })
 	if rec == nil {
 		return Unchanged{}
 	}
-	o := rec.answered(startedAt)
-	r.drop(t.ID, func(rec *record) bool { return rec.leavingSince.IsZero() && rec.holdUntil.IsZero() })
+	o := rec.Answered(startedAt)
+	r.drop(t.ID, func(rec *record) bool { return rec.Empty() })
 	return o
 }
 
@@ -81,11 +80,7 @@
 func (r *Register) markLeaving(t inventory.Target, now time.Time) Observation {
 	rec := r.record(t)
 	rec.readySince = time.Time{}
-	if !rec.leavingSince.IsZero() {
-		return Unchanged{}
-	}
-	rec.leavingSince = now
-	return LeavingBegun{}
+	return rec.MarkLeaving(now)
 }
 
 // Standing returns whether the target may be sent to.
@@ -101,7 +96,7 @@
 		if !rec.covers(t) {
 			continue
 		}
-		switch x := rec.standing(now).(type) {
+		switch x := rec.Standing(now).(type) {
 		case Leaving:
 			return x
 		case HoldingOff:
@@ -124,7 +119,7 @@
 	}
 	for _, rec := range r.records[t.ID] {
 		if rec.covers(t) {
-			rec.probedAt = now
+			rec.CountSend(now)
 		}
 	}
 	return true
@@ -161,7 +156,7 @@
 			if rec.absentSince.IsZero() {
 				rec.absentSince = now
 			}
-			return rec.startMillis == 0 || now.Sub(rec.absentSince) >= absentRetention
+			return rec.startMillis == 0 || now.Sub(rec.absentSince) >= AbsentRetention
 		})
 	}
 	return returned
