Promises: a relay that is new to a target meets its notice once

When a target's relay dies, another daemon takes its place and knows none of the notices. The test kills the relay of a target that leaves, or that holds off for ten minutes: exactly one batch reaches it through the new relay.

--- a/internal/promise/notices_test.go
+++ b/internal/promise/notices_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/faketarget"
@@ -195,8 +196,7 @@
 				}
 				time.Sleep(2 * time.Second)
 				for _, d := range f.Daemons {
-					leaving, holding := d.Node.Relay.LeftOut()
-					require.Zero(t, leaving+holding, d.Name)
+					require.Zero(t, leftOut(d), d.Name)
 				}
 				a := ask(f, "visitSearch", settings.KindSearch, 0)
 				close(stop)
@@ -213,3 +213,39 @@
 		})
 	}
 }
+
+// Guards against many requests to a target that leaves or holds off when another daemon becomes its relay.
+func TestNewRelayMeetsANoticeOnce(t *testing.T) {
+	for name, faults := range map[string]faketarget.Faults{
+		"leaving": {Leaving: true},
+		"hold":    {Shed: true, RetryAfter: 600},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := warmFleet(6)
+				defer f.Close()
+				victim := f.Targets["visitSearch-01-1"]
+				victim.SetFaults(faults)
+				s := &fleetsim.Traffic{Fleet: f, Group: "visitSearch", Kind: settings.KindSearch, Rate: 40, Seed: 6}
+				s.Run(5 * time.Second)
+				before, ok := lo.Find(f.Daemons, func(d *fleetsim.Daemon) bool { return leftOut(d) > 0 })
+				require.True(t, ok)
+				require.Zero(t, victim.Record().BatchesAfterLeaving+victim.Record().BatchesInHold)
+
+				f.Kill(before)
+				f.PublishVMState(before.Name, "")
+				alive := lo.Without(f.Daemons, before)
+				s.Choose = func(r *rand.Rand) *fleetsim.Daemon { return alive[r.IntN(len(alive))] }
+				s.Run(20 * time.Second)
+				require.True(t, lo.SomeBy(alive, func(d *fleetsim.Daemon) bool { return leftOut(d) > 0 }), "another relay has met the notice")
+				require.Equal(t, 1, victim.Record().BatchesAfterLeaving+victim.Record().BatchesInHold)
+				require.Empty(t, fleetsim.Verify(f, s))
+			})
+		})
+	}
+}
+
+func leftOut(d *fleetsim.Daemon) int {
+	leaving, holding := d.Node.Relay.LeftOut()
+	return leaving + holding
+}
