Relay: a handover between two processes does not leave a target out for good

When a target's new process takes over the port while the old one still runs, its health names the new incarnation and the relay sends a probe. A late reply of the old process, or a probe that met it on a kept connection, put the notice back, and the name from the health was not tried again: the target stayed unused. Found by reading; the test shows it: targetLeaving after a late reply. Only a reply to a request sent after the health's word ends the probes now, and a name is tried again after 30 s.

--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -14,6 +14,9 @@
 const (
 	// maxEarlier bounds the earlier incarnations of a target that are known by name.
 	maxEarlier = 16
+	// retryHealthAfter is how long an incarnation that only the target's health has named, and that no probe has found, is
+	// not tried again: health may be outdated for seconds, and a probe may have met the old process of a handover.
+	retryHealthAfter = 30 * time.Second
 	// healthTimeout bounds a question for a target's health.
 	healthTimeout = 250 * time.Millisecond
 	// answerSource is the source of notices that a target gave in a reply.
@@ -32,8 +35,9 @@
 	// then sent probes, and probes is their state.
 	restarted bool
 	probes    targetnotice.State
-	// tried holds the incarnations that the target's health has named.
+	// tried holds the incarnations that the target's health has named of late, and triedAt is when it named the last one.
 	tried    []string
+	triedAt  time.Time
 	checking bool
 }
 
@@ -43,7 +47,7 @@
 	if !n.adopt(reply.Incarnation, startedAt, now) {
 		return targetnotice.Unchanged{}
 	}
-	n.restarted = false
+	n.restarted = n.restarted && startedAt.Before(n.triedAt)
 	switch {
 	case reply.LeavingSaid():
 		return n.state.MarkLeaving(now)
@@ -80,12 +84,15 @@
 }
 
 // observeHealth lets probes through if the target's health names an incarnation that has not been heard of. Health may
-// be outdated, so only a reply of that incarnation ends the notices, and each name lets probes through once.
+// be outdated, so only a reply of that incarnation ends the notices, and each name lets probes through once in a while.
 func (n *notices) observeHealth(incarnation string, now time.Time) {
+	if now.Sub(n.triedAt) >= retryHealthAfter {
+		n.tried = nil
+	}
 	if incarnation == "" || incarnation == n.incarnation || slices.Contains(n.earlier, incarnation) || slices.Contains(n.tried, incarnation) {
 		return
 	}
-	n.tried = appendBounded(n.tried, incarnation)
+	n.tried, n.triedAt = appendBounded(n.tried, incarnation), now
 	n.restarted, n.probes = true, targetnotice.HeldUntil(now)
 }
 
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -435,3 +435,35 @@
 		x.group.Wait()
 	})
 }
+
+// Guards against a target that is started anew beside its old process and stays unused because that one still replies.
+func TestHandoverBetweenProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newFixture(4, 1)
+		x.answer(leaving)
+		x.set(func() { x.serviceTime = 2 * time.Second })
+		x.submit(1, 0)
+		x.set(func() { x.serviceTime = 10 * time.Millisecond })
+		x.submit(1, 10*time.Millisecond)
+		x.set(func() { x.health = "i2" })
+		x.relay.Expire()
+		synctest.Wait()
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		require.Empty(t, x.relay.Status()[0].LeftOut, "a late reply of the old process is not the probe's")
+
+		x.requireOne(t, peerpb.Status_DONE, "")
+		x.answer(target.Reply{Incarnation: "i2"})
+		for range 55 {
+			x.relay.Expire()
+			time.Sleep(500 * time.Millisecond)
+			x.requireOne(t, peerpb.Status_NOT_RUN, relay.ReasonLeaving)
+		}
+		time.Sleep(time.Second)
+		x.relay.Expire()
+		synctest.Wait()
+		x.requireOne(t, peerpb.Status_DONE, "")
+		x.relay.Expire()
+		require.Empty(t, x.relay.Status()[0].LeftOut)
+	})
+}
