--- a/internal/dispatch/stop_test.go
+++ b/internal/dispatch/stop_test.go
@@ -45,7 +45,7 @@
 				x := newFixture(c.target)
 				x.configure()
 				signal := time.Now().Add(time.Second)
-				time.AfterFunc(time.Until(signal), func() { x.dispatcher.Grace.Begin(signal, grace) })
+				time.AfterFunc(time.Until(signal), func() { x.dispatcher.Grace.Begin(signal, 0, grace) })
 				time.Sleep(time.Until(signal.Add(c.sent)))
 				require.Equal(t, c.want, x.send(c.path, c.deadline))
 				require.Equal(t, c.answered, time.Since(signal))
--- a/internal/process/stop_test.go
+++ b/internal/process/stop_test.go
@@ -200,7 +200,7 @@
 	f.signal(d.name, syscall.SIGSTOP)
 	time.Sleep(drainLimit / 20)
 	f.signal(d.name, syscall.SIGTERM)
-	kill := time.AfterFunc(balancerDelay+drainLimit, func() { _ = f.processes[d.name].Process.Kill() })
+	kill := time.AfterFunc(balancerDelay+drainLimit, func() { _ = f.processes[d.name].command.Process.Kill() })
 	defer kill.Stop()
 	time.Sleep((balancerDelay + drainLimit) * 3 / 10)
 	f.signal(d.name, syscall.SIGCONT)
