Shutdown test sends its second signal once the first has arrived

What was seen: TestShutdownCutsOffNoRequest failed in 1 of 5 runs of the package on a machine with a load of about 100 on 8 processors: the log had no secondSignal.

Cause: the test sent the same signal twice, 100 ms apart. The system merges a signal with an equal one that the process has not yet received.

Fix: the second signal is sent once the readiness check shows the first.

--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -318,7 +318,8 @@
 	f.signal(f.daemons[0].name, syscall.SIGTERM)
 	f.signal(f.daemons[1].name, syscall.SIGTERM)
 	f.publishLeaving(f.daemons[0].name, f.daemons[1].name)
-	time.Sleep(100 * time.Millisecond)
+	// The system merges a signal with an equal one that the process has not yet received.
+	f.eventually(func() bool { return !f.ready(f.daemons[0]) }, "%s is not ready", f.daemons[0].name)
 	f.signal(f.daemons[0].name, syscall.SIGTERM)
 	for _, d := range f.daemons[:2] {
 		require.NoError(t, f.processes[d.name].Wait(), f.read(d.name+".out"))
