--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,10 @@
 	// drainNotifyDelay is the minimum time for which a stopping daemon still relays for peers that have not yet received its
 	// draining state.
 	drainNotifyDelay = time.Second
+	// answerTime is how long before the end of the drain limit the last answers are given, so that they can be written on a
+	// busy machine. It is at most a share of 1/answerDivisor of the drain limit.
+	answerTime    = 500 * time.Millisecond
+	answerDivisor = 4
 )
 
 // Daemon is one entry daemon.
@@ -157,15 +161,19 @@
 	}
 }
 
-// drain fails the readiness check, accepts requests for the time that the load balancer needs to notice, waits for requests in
-// flight and stops listening.
+// drain fails the readiness check and accepts every request for the time that the load balancer needs to notice. After that it
+// accepts requests that can end in time, answers all shortly before the drain limit, and stops listening.
 func (d *Daemon) drain() {
+	acceptUntil := time.Now().Add(max(d.settings.BalancerDelay.Std(), drainNotifyDelay))
+	drainLimit := d.settings.DrainLimit.Std()
+	end := acceptUntil.Add(drainLimit)
+	d.node.Root.Stop.Set(acceptUntil, end.Add(-min(answerTime, drainLimit/answerDivisor)))
 	events.DrainStarted.Log(d.log)
 	d.node.Drain()
 	do.MustInvoke[*heartbeat.Sender](d.injector).Send()
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.BalancerDelay.Std()+d.settings.DrainLimit.Std())
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	time.Sleep(max(d.settings.BalancerDelay.Std(), drainNotifyDelay))
+	time.Sleep(time.Until(acceptUntil))
 	callers, operators, peers := d.servers[2], d.servers[1], d.servers[0]
 	timedOut := callers.Shutdown(ctx) != nil
 	timedOut = !d.waitUntil(ctx, d.node.Relay.Idle) || timedOut
--- a/internal/root/booking.go
+++ b/internal/root/booking.go
@@ -50,8 +50,7 @@
 	}
 	a := &attempt{
 		root: r, request: q, tree: tree, team: team, group: group, id: uuid.NewString(),
-		bodyHash: fingerprint(q),
-		deadline: now.Add(q.Deadline - min(AnswerMargin, q.Deadline/4)),
+		bodyHash: fingerprint(q), deadline: r.deadline(q),
 	}
 	a.witnesses = booking.Witnesses(a.recordKey(), r.Board.View.Get().Voting())
 	if now.Sub(booking.IssuedAt(q.Key, now, 0)) > booking.MaxKeyAge {
@@ -64,6 +63,10 @@
 	if answer, ended := a.answerWithoutRun(verdicts); ended {
 		return answer
 	}
+	if r.Stop.IsReached() {
+		a.sendOutcome(&peerpb.ClaimOutcome{Release: true})
+		return notRun(caller.ReasonStopping)
+	}
 	return a.run(ctx)
 }
 
@@ -72,7 +75,10 @@
 	if _, refusal := r.ready(); refusal != "" {
 		return unknown(refusal)
 	}
-	a := &attempt{root: r, request: q, deadline: time.Now().Add(settings.DefaultDeadline)}
+	if r.Stop.IsReached() {
+		return unknown(caller.ReasonStopping)
+	}
+	a := &attempt{root: r, request: q, deadline: r.Stop.Bound(time.Now().Add(settings.DefaultDeadline))}
 	a.witnesses = booking.Witnesses(a.recordKey(), r.Board.View.Get().Voting())
 	return a.lookUp(caller.ReasonNoRecord)
 }
@@ -89,7 +95,8 @@
 	return unknown(noRecordReason)
 }
 
-// claim sends a claim to all witnesses and returns their verdicts once these are decisive or the given time is reached.
+// claim sends a claim to all witnesses and returns their verdicts once these are decisive, or at the given time or the end
+// of a stop.
 // With an empty attempt it only queries what is recorded.
 func (a *attempt) claim(attemptID string, until time.Time) []*peerpb.ClaimReply {
 	ch := make(chan *peerpb.ClaimReply, len(a.witnesses))
@@ -120,6 +127,8 @@
 			replies = lo.UniqBy(append(replies, v), func(v *peerpb.ClaimReply) string { return v.Witness })
 		case <-timer.C:
 			return replies
+		case <-a.root.Stop.Reached():
+			return replies
 		}
 	}
 	return replies
@@ -166,7 +175,7 @@
 
 // awaitOutcome polls the witnesses until the attempt that holds the key has ended or the deadline is reached.
 func (a *attempt) awaitOutcome() caller.Answer {
-	for time.Until(a.deadline) > pollInterval {
+	for time.Until(a.deadline) > pollInterval && !a.root.Stop.IsReached() {
 		time.Sleep(pollInterval)
 		answer := a.lookUp(caller.ReasonInProgress)
 		if answer.Reason != caller.ReasonInProgress {
@@ -210,7 +219,7 @@
 	p := &part{service: a.service(), attempts: map[string]int{}}
 	q := &query{root: a.root, request: a.request, tree: a.tree, team: a.team, group: a.group, deadline: a.deadline, rng: a.root.newRand()}
 	reason := caller.ReasonNoTarget
-	for time.Now().Before(a.deadline) {
+	for time.Now().Before(a.deadline) && !a.root.Stop.IsReached() {
 		now := time.Now()
 		cs := q.candidates(p, now)
 		i := replicaselect.Choose(cs, now, q.rng)
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -20,6 +20,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/quarantine"
 	"github.com/knapweedpoint/knapweedpoint/internal/replicaselect"
 	"github.com/knapweedpoint/knapweedpoint/internal/snapshot"
+	"github.com/knapweedpoint/knapweedpoint/internal/stoplimit"
 	"github.com/knapweedpoint/knapweedpoint/pkg/caller"
 	"github.com/knapweedpoint/knapweedpoint/pkg/outcome"
 	"github.com/knapweedpoint/knapweedpoint/pkg/settings"
@@ -74,6 +75,8 @@
 	Group    *sync.WaitGroup
 	Gate     admission.Gate
 	Budget   budget.Bucket
+	// Stop bounds all requests once the daemon was told to stop.
+	Stop stoplimit.Limit
 	// Policy defines how targets are reached; nil means policy.Relayed.
 	Policy policy.Policy
 	// BookingMargin is the longest time by which the VM lists of two daemons are assumed to differ.
@@ -132,13 +135,18 @@
 	if !ok || !known || group.Kind != q.Kind {
 		return notRun(caller.ReasonUnknownGroup)
 	}
+	if q.Deadline <= 0 {
+		q.Deadline = group.Deadline.Std()
+	}
+	if !r.Stop.Accepts(time.Now(), q.Deadline) {
+		return notRun(caller.ReasonStopping)
+	}
 	if !r.Gate.TryAcquire(team.Worth, maxWorth(tree)) {
 		return notRun(caller.ReasonOverload)
 	}
 	defer r.Gate.Release()
-	if q.Deadline <= 0 {
-		q.Deadline = group.Deadline.Std()
-	}
+	ctx, cancel := r.Stop.Context(ctx)
+	defer cancel()
 	if q.Kind == settings.KindBooking {
 		return r.book(ctx, q, tree, team, group)
 	}
@@ -166,10 +174,10 @@
 	if refused && !policy.Omitted(r.Policy).Quarantine {
 		return notRun(caller.ReasonQuarantined)
 	}
-	deadline := time.Now().Add(q.Deadline - min(AnswerMargin, q.Deadline/4))
+	deadline := r.deadline(q)
 	snap := r.snapshots.Pick(q.Team, q.Group, group, time.Now())
 	first := r.run(ctx, newQuery(r, q, tree, team, group, snap, fp, deadline))
-	if !first.snapshotMissing || time.Until(deadline) < MinRestart {
+	if !first.snapshotMissing || time.Until(deadline) < MinRestart || ctx.Err() != nil {
 		return first.answer()
 	}
 	r.snapshots.MarkMissing(q.Team, q.Group, snap.Name, time.Now())
@@ -185,6 +193,11 @@
 	return second.answer()
 }
 
+// deadline returns when the request is answered at the latest: shortly before its caller's deadline, or at the end of a stop.
+func (r *Root) deadline(q Question) time.Time {
+	return r.Stop.Bound(time.Now().Add(q.Deadline - min(AnswerMargin, q.Deadline/4)))
+}
+
 // DeliverResult passes a relay's result to the query that waits for it; a result that nothing waits for is dropped.
 func (r *Root) DeliverResult(res *peerpb.SubResult) {
 	r.deliver(reply{id: res.Id, result: res, arrived: time.Now()})
--- a/pkg/caller/message.go
+++ b/pkg/caller/message.go
@@ -16,6 +16,7 @@
 	ReasonOverload       = "overload"
 	ReasonNotReady       = "notReady"
 	ReasonStaleView      = "staleView"
+	ReasonStopping       = "stopping"
 	ReasonNoTarget       = "noTarget"
 	ReasonQuarantined    = "quarantined"
 	ReasonDeadline       = "deadline"
