--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -176,10 +176,11 @@
 	time.Sleep(time.Until(acceptUntil))
 	callers, operators, peers := d.servers[2], d.servers[1], d.servers[0]
 	timedOut := callers.Shutdown(ctx) != nil
-	timedOut = !d.waitUntil(ctx, d.node.Relay.Idle) || timedOut
+	timedOut = !d.waitUntil(ctx, d.node.Idle) || timedOut
+	timedOut = peers.Shutdown(ctx) != nil || timedOut
+	timedOut = !d.waitUntil(ctx, d.node.Outboxes.Idle) || timedOut
 	if timedOut {
 		events.DrainOverdue.Log(d.log)
 	}
-	_ = peers.Shutdown(ctx)
 	_ = operators.Shutdown(ctx)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -306,6 +306,11 @@
 	n.updateView(func(v membership.View) membership.View { return v.WithHeartbeat(v.Self, b, time.Time{}) })
 }
 
+// Idle reports whether the node has no work of its own or of other daemons.
+func (n *Node) Idle() bool {
+	return n.Relay.Idle() && n.Root.Idle()
+}
+
 // Bookings returns the number of keys that the node's witness retains.
 func (n *Node) Bookings() int {
 	return n.witness.Len()
--- a/internal/peer/outboxes.go
+++ b/internal/peer/outboxes.go
@@ -50,6 +50,8 @@
 
 	mu     sync.Mutex
 	byPeer map[string]*outbox
+	// unsent is the number of messages that are neither acknowledged nor given up.
+	unsent int
 }
 
 type outbox struct {
@@ -94,6 +96,7 @@
 	}
 	add(box.pending)
 	box.queued += n
+	o.unsent += n
 	if box.inFlight < MaxInFlight {
 		box.inFlight++
 		o.Group.Go(func() { o.sendAll(to) })
@@ -103,25 +106,40 @@
 
 func (o *Outboxes) sendAll(to string) {
 	for {
-		e := o.takePending(to)
+		e, messages := o.takePending(to)
 		if e == nil {
 			return
 		}
 		o.send(e, 1)
+		o.addUnsent(-messages)
 	}
 }
 
-func (o *Outboxes) takePending(to string) *peerpb.Envelope {
+func (o *Outboxes) addUnsent(n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.unsent += n
+}
+
+// Idle reports whether each message is acknowledged or given up; heartbeats do not count.
+func (o *Outboxes) Idle() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.unsent == 0
+}
+
+// takePending removes and returns the pending envelope of a peer and the number of its messages.
+func (o *Outboxes) takePending(to string) (*peerpb.Envelope, int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	box := o.byPeer[to]
-	e := box.pending
+	e, messages := box.pending, box.queued
 	box.pending = nil
 	box.queued = 0
 	if e == nil {
 		box.inFlight--
 	}
-	return e
+	return e, messages
 }
 
 func (o *Outboxes) send(e *peerpb.Envelope, attempt int) {
@@ -166,7 +184,9 @@
 		From: e.From, To: e.To,
 		Results: e.Results, ClaimOutcomes: e.ClaimOutcomes, Suspicions: e.Suspicions,
 	}
+	o.addUnsent(1)
 	o.Group.Go(func() {
+		defer o.addUnsent(-1)
 		time.Sleep(retryPause * time.Duration(attempt))
 		o.send(resend, attempt+1)
 	})
--- a/internal/promise/stop_test.go
+++ b/internal/promise/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,9 @@
 
 	"github.com/knapweedpoint/knapweedpoint/internal/faketarget"
 	"github.com/knapweedpoint/knapweedpoint/internal/fleetsim"
+	"github.com/knapweedpoint/knapweedpoint/internal/node"
+	"github.com/knapweedpoint/knapweedpoint/internal/peerpb"
+	"github.com/knapweedpoint/knapweedpoint/internal/relay"
 	"github.com/knapweedpoint/knapweedpoint/internal/root"
 	"github.com/knapweedpoint/knapweedpoint/pkg/caller"
 	"github.com/knapweedpoint/knapweedpoint/pkg/settings"
@@ -104,3 +108,54 @@
 		})
 	}
 }
+
+// idleSender counts the results that a relay sends while it reports to be idle.
+type idleSender struct {
+	relay.Sender
+	node *node.Node
+	idle atomic.Int64
+}
+
+func (s *idleSender) SendResult(to string, r *peerpb.SubResult) {
+	if s.node.Relay.Idle() {
+		s.idle.Add(1)
+	}
+	s.Sender.SendResult(to, r)
+}
+
+// Guards against an exit before the outcome of a booking, or a result for another VM, has been delivered.
+func TestStopWaitsUntilOutcomesAndResultsAreDelivered(t *testing.T) {
+	for i := range 3 {
+		synctest.Test(t, func(t *testing.T) {
+			f := fleetsim.NewFleet(slowFleet(uint64(i)))
+			defer f.Close()
+			time.Sleep(10 * time.Second)
+			stopping := f.Daemons[i]
+			sender := &idleSender{Sender: stopping.Node.Relay.Sender, node: stopping.Node}
+			stopping.Node.Relay.Sender = sender
+			answers := make(chan caller.Answer, len(f.Daemons))
+			for n, d := range f.Daemons {
+				d.Node.Group.Go(func() {
+					answers <- book(d, "key-"+d.Name, `{"n":1}`, time.Second)
+				})
+				time.Sleep(time.Duration(n) * time.Millisecond)
+			}
+			time.Sleep(100 * time.Millisecond)
+			require.False(t, stopping.Node.Root.Idle())
+			stopping.Node.Drain()
+			for !stopping.Node.Idle() || !stopping.Node.Outboxes.Idle() {
+				time.Sleep(time.Millisecond)
+			}
+			f.Kill(stopping)
+			require.Zero(t, sender.idle.Load(), "the relay was idle while it had a result to send")
+			time.Sleep(2 * time.Second)
+			for range f.Daemons {
+				a := <-answers
+				require.Equal(t, "done", a.Outcome, a.Reason)
+			}
+			other := f.Daemons[(i+1)%3]
+			a := other.Node.Root.BookingOutcome(root.Question{Team: "visits", Group: "grants", Key: "key-" + stopping.Name})
+			require.Equal(t, "done", a.Outcome, a.Reason)
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -240,9 +240,12 @@
 	return all
 }
 
-// Idle reports whether nothing is queued or in flight.
+// Idle reports whether nothing is queued or in flight and each result has been passed to the sender.
 func (r *Relay) Idle() bool {
-	return !slices.ContainsFunc(r.allTargets(), func(ts *targetState) bool {
+	r.mu.Lock()
+	entries := len(r.byID)
+	r.mu.Unlock()
+	return entries == 0 && !slices.ContainsFunc(r.allTargets(), func(ts *targetState) bool {
 		ts.mu.Lock()
 		defer ts.mu.Unlock()
 		return ts.inFlight > 0 || len(ts.queue) > 0
@@ -257,7 +260,7 @@
 }
 
 func (r *Relay) refuse(e *entry, ts *targetState, reason string) {
-	r.removeEntry(e)
+	defer r.removeEntry(e)
 	if e.expiryTimer != nil {
 		e.expiryTimer.Stop()
 	}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -144,8 +144,8 @@
 		res := newResult(e, i, reply, err)
 		res.Incarnation = lo.CoalesceOrEmpty(loss, res.Incarnation)
 		r.addTargetState(res, ts)
-		r.removeEntry(e)
 		r.Sender.SendResult(e.from, res)
+		r.removeEntry(e)
 	}
 	r.dispatch(ts)
 }
--- a/internal/root/booking.go
+++ b/internal/root/booking.go
@@ -198,7 +198,11 @@
 // run runs the claimed booking, which continues even if the caller disconnects.
 func (a *attempt) run(ctx context.Context) caller.Answer {
 	done := make(chan caller.Answer, 1)
-	a.root.Group.Go(func() { a.execute(done) })
+	a.root.bookings.Add(1)
+	a.root.Group.Go(func() {
+		defer a.root.bookings.Add(-1)
+		a.execute(done)
+	})
 	select {
 	case answer := <-done:
 		return answer
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -93,6 +93,8 @@
 	rng         *rand.Rand
 	pending     map[uint64]chan<- reply
 	claims      map[uint64]chan<- *peerpb.ClaimReply
+	// bookings is the number of bookings whose outcome is not yet reported to the witnesses.
+	bookings atomic.Int64
 }
 
 // reply is the response to one sub-request: its result, or unacknowledged if its relay did not acknowledge it;
@@ -250,6 +252,11 @@
 	return len(r.pending)
 }
 
+// Idle reports whether no booking runs, including those whose callers have been answered.
+func (r *Root) Idle() bool {
+	return r.bookings.Load() == 0
+}
+
 func notRun(reason string) caller.Answer {
 	return caller.NewAnswer(outcome.NotRun{Reason: reason, RetryAfter: RetryAfter})
 }
