--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -5,9 +5,11 @@
 	"io"
 	"text/tabwriter"
 
+	"github.com/samber/lo"
 	"github.com/spf13/cobra"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/operatorapi"
+	"github.com/knapweedpoint/knapweedpoint/internal/relay"
 )
 
 func newStatus() *cobra.Command {
@@ -44,10 +46,18 @@
 	for _, m := range s.Members {
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d ms\t%d\n", m.Name, m.AvailabilityZone, m.State, m.LastSeenAgeMs, m.Revision)
 	}
-	_, _ = fmt.Fprintln(w, "\nTARGET\tZONE\tSTATE\tIN FLIGHT\tPEAK\tQUEUED\tSLOTS\tTYPICAL\tLEASED\tINCARNATION")
+	_, _ = fmt.Fprintln(w, "\nTARGET\tZONE\tSTATE\tIN FLIGHT\tPEAK\tQUEUED\tSLOTS\tTYPICAL\tLEASED\tLEFT OUT\tINCARNATION")
 	for _, t := range s.Targets {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%.1f ms\t%t\t%s\n",
-			t.Target, t.Zone, t.State, t.InFlight, t.PeakInFlight, t.Queued, t.Slots, float64(t.TypicalUs)/1000, t.Leased, t.Incarnation)
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%.1f ms\t%t\t%s\t%s\n",
+			t.Target, t.Zone, t.State, t.InFlight, t.PeakInFlight, t.Queued, t.Slots, float64(t.TypicalUs)/1000, t.Leased, leftOut(t), t.Incarnation)
 	}
 	return w.Flush()
 }
+
+// leftOut returns why a target is not sent to, and for how long if that is known.
+func leftOut(t relay.TargetStatus) string {
+	if t.HoldMs > 0 {
+		return fmt.Sprintf("%s %d ms", t.LeftOut, t.HoldMs)
+	}
+	return lo.CoalesceOrEmpty(t.LeftOut, "-")
+}
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -139,6 +139,10 @@
 	scope.Gauge("inFlight").Update(float64(n.Root.Gate.InFlight()))
 	scope.Gauge("suspects").Update(float64(n.Register.Len()))
 	scope.Gauge("bookingKeys").Update(float64(n.Bookings()))
+	leaving, holding := n.Relay.LeftOut()
+	for reason, count := range map[string]int{"leaving": leaving, "holdsOff": holding} {
+		scope.Tagged(map[string]string{"reason": reason}).Gauge("targetsLeftOut").Update(float64(count))
+	}
 	scope.Gauge("configurationRevision").Update(float64(n.Acceptor.Revision()))
 }
 
--- a/internal/faketarget/options.go
+++ b/internal/faketarget/options.go
@@ -41,6 +41,9 @@
 // MaxBodies bounds the number of distinct request bodies in a Record; from then on, no run of a read is counted there.
 const MaxBodies = 200_000
 
+// NoticeTime is the time that a relay has to obey a notice in a reply.
+const NoticeTime = 500 * time.Millisecond
+
 // Defaults of Options.
 const (
 	DefaultSlots                = 2
@@ -86,6 +89,10 @@
 	Frozen bool `json:"frozen,omitempty"`
 	// Draining refuses every new batch as on a draining target.
 	Draining bool `json:"draining,omitempty"`
+	// Leaving makes every reply say that the target is leaving.
+	Leaving bool `json:"leaving,omitempty"`
+	// RetryAfter is the hold, in seconds, that every refusal asks for.
+	RetryAfter float64 `json:"retryAfter,omitempty"`
 	// Shed refuses every new batch as on an overloaded target.
 	Shed bool `json:"shed,omitempty"`
 	// CrashOn crashes the target when the body of a request contains this text.
@@ -123,6 +130,12 @@
 	ColdCapacity int `json:"coldBears"`
 	// BatchesWhileOut counts the batches received while marked as taken out, except those refused as late.
 	BatchesWhileOut int `json:"afterOut"`
+	// BatchesAfterLeaving counts the batches received later than NoticeTime after the incarnation's first reply that said
+	// that the target is leaving.
+	BatchesAfterLeaving int `json:"afterLeaving"`
+	// BatchesInHold counts the batches received later than NoticeTime after a refusal that asked for a hold and before the
+	// end of the hold.
+	BatchesInHold int `json:"inHold"`
 	// Runs counts the runs of each booking key.
 	Runs map[string]int `json:"runs,omitempty"`
 	// Bodies counts the runs of reads by request body; it stops counting once it holds MaxBodies bodies.
--- a/internal/faketarget/server.go
+++ b/internal/faketarget/server.go
@@ -204,3 +204,15 @@
 	}
 	return target.DecodeReply(data, b)
 }
+
+// Health implements target.Runner.
+func (r *Runner) Health(_ context.Context, address string) (target.Health, error) {
+	t := r.Lookup(address)
+	if t == nil || t.Down() {
+		return target.Health{}, target.NotSent.New("connection refused")
+	}
+	if r.Delay != nil {
+		time.Sleep(2 * r.Delay(address))
+	}
+	return t.Health(), nil
+}
--- a/internal/faketarget/target.go
+++ b/internal/faketarget/target.go
@@ -39,8 +39,14 @@
 	down            bool
 	crashed         chan struct{}
 	unfrozen        chan struct{}
+	// leavingFrom is when the incarnation may get nothing any more; holds are those that it has asked for.
+	leavingFrom time.Time
+	holds       []hold
 }
 
+// hold is a time within which a target wants no batch.
+type hold struct{ from, until time.Time }
+
 // New returns a target in its first incarnation.
 func New(o Options) *Target {
 	o = o.WithDefaults()
@@ -58,6 +64,7 @@
 	t.coldBatchesLeft = t.options.WarmupBatches
 	t.crashed = make(chan struct{})
 	t.down = false
+	t.leavingFrom, t.holds = time.Time{}, nil
 }
 
 // Restart starts a new, cold incarnation after a crash.
@@ -177,6 +184,7 @@
 	}
 	crashed := t.crashed
 	t.record.Batches++
+	t.countUnwanted(time.Now())
 	refusal := t.refusal(b)
 	if t.faults.TakenOut && refusal != target.RefusalLate {
 		t.record.BatchesWhileOut++
@@ -195,6 +203,16 @@
 	return t.execute(ctx, b, crashed)
 }
 
+func (t *Target) countUnwanted(now time.Time) {
+	if !t.leavingFrom.IsZero() && now.After(t.leavingFrom) {
+		t.record.BatchesAfterLeaving++
+	}
+	t.holds = slices.DeleteFunc(t.holds, func(h hold) bool { return !now.Before(h.until) })
+	if slices.ContainsFunc(t.holds, func(h hold) bool { return now.After(h.from) }) {
+		t.record.BatchesInHold++
+	}
+}
+
 func (t *Target) refusal(b *target.Batch) string {
 	switch {
 	case t.faults.Draining:
@@ -334,7 +352,17 @@
 }
 
 func (t *Target) reply(refusal string, results []target.Result) *target.Reply {
-	return &target.Reply{Target: t.options.Name, Incarnation: t.incarnation(), Load: t.load(), Refusal: refusal, Results: results}
+	r := &target.Reply{Target: t.options.Name, Incarnation: t.incarnation(), Load: t.load(), Refusal: refusal, Results: results}
+	r.Leaving = t.faults.Leaving || t.faults.Draining
+	from := time.Now().Add(NoticeTime)
+	if r.Leaving && t.leavingFrom.IsZero() {
+		t.leavingFrom = from
+	}
+	if refusal != "" && t.faults.RetryAfter > 0 {
+		r.RetryAfter = t.faults.RetryAfter
+		t.holds = append(t.holds, hold{from: from, until: time.Now().Add(time.Duration(r.RetryAfter * float64(time.Second)))})
+	}
+	return r
 }
 
 func (t *Target) result(q target.Request) target.Result {
--- a/internal/fleetsim/network.go
+++ b/internal/fleetsim/network.go
@@ -212,3 +212,12 @@
 	r.self.Link.waitWhilePaused()
 	return reply, err
 }
+
+// Health asks a target for its health, like Run.
+func (r *runner) Health(ctx context.Context, address string) (target.Health, error) {
+	r.self.Link.waitWhilePaused()
+	if r.self.Link.isDead() {
+		return target.Health{}, target.NotSent.New("dead")
+	}
+	return r.Runner.Health(ctx, address)
+}
--- a/internal/measure/cost_test.go
+++ b/internal/measure/cost_test.go
@@ -38,6 +38,10 @@
 	})}, nil
 }
 
+func (instantTarget) Health(context.Context, string) (target.Health, error) {
+	return target.Health{Ready: true, Incarnation: "1"}, nil
+}
+
 // singleDaemon returns a serving daemon that is the only one of its fleet.
 func singleDaemon(tb testing.TB, services int) *node.Node {
 	tb.Helper()
--- a/internal/relay/reason.go
+++ b/internal/relay/reason.go
@@ -12,6 +12,8 @@
 	ReasonDown        = "targetDown"
 	ReasonCancelled   = "cancelled"
 	ReasonQuarantined = "quarantined"
+	ReasonLeaving     = "targetLeaving"
+	ReasonHoldsOff    = "targetHoldsOff"
 )
 
 // Reasons with which a relay reports a sub-request that may have run.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/lease"
+	"github.com/knapweedpoint/knapweedpoint/internal/noticelog"
 	"github.com/knapweedpoint/knapweedpoint/internal/peerpb"
 	"github.com/knapweedpoint/knapweedpoint/internal/policy"
 	"github.com/knapweedpoint/knapweedpoint/internal/quarantine"
@@ -41,6 +42,7 @@
 	Log    *zap.Logger
 
 	leases  lease.Holder
+	notices noticelog.Logger
 	mu      sync.Mutex
 	targets map[string]*targetState
 	byID    map[string]*entry
@@ -97,6 +99,9 @@
 // admit queues the entry. It returns the reason if it refuses the entry, and otherwise the entry that was evicted because
 // the queue was full, if any.
 func (r *Relay) admit(ts *targetState, e *entry, now time.Time) (string, *entry) {
+	if reason := ts.notices.blockedReason(now); reason != "" {
+		return reason, nil
+	}
 	if now.Before(ts.downUntil) {
 		return ReasonDown, nil
 	}
@@ -145,6 +150,9 @@
 		r.targets[tg.Name] = ts
 	}
 	ts.mu.Lock()
+	if ts.target.Address != tg.Address {
+		ts.notices = notices{}
+	}
 	ts.team, ts.serviceName, ts.service, ts.target = team, name, sv, tg
 	ts.mu.Unlock()
 	return ts
@@ -208,12 +216,13 @@
 	}
 }
 
-// Expire removes expired sub-requests, makes targets cold that accept no work, and removes the state of idle targets
-// that are no longer published.
+// Expire removes expired sub-requests, makes targets cold that accept no work, asks those that are left out by their
+// notices whether they have been started anew, and removes the state of idle targets that are no longer published.
 func (r *Relay) Expire() {
 	tree := r.Board.Tree.Get()
 	for _, ts := range r.allTargets() {
 		r.dispatch(ts)
+		r.checkHealth(ts)
 		ts.mu.Lock()
 		if !tree.TargetEligible(ts.target) {
 			ts.ramp = ts.ramp.WithConnectionLoss()
@@ -221,8 +230,9 @@
 		idle := ts.inFlight == 0 && len(ts.queue) == 0
 		_, _, published := tree.FindTarget(ts.team, ts.serviceName, ts.target.Name)
 		name := ts.target.Name
+		gone := ts.gone(published, time.Now())
 		ts.mu.Unlock()
-		if idle && !published {
+		if idle && gone {
 			r.mu.Lock()
 			delete(r.targets, name)
 			r.mu.Unlock()
@@ -279,9 +289,11 @@
 	}
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
+	now := time.Now()
 	res.ServiceUs = ts.recentServiceTime.Microseconds()
 	res.Queued = uint32(len(ts.queue) + ts.inFlight)
-	res.Cold = r.usesRamp() && ts.cold(time.Now())
+	res.Cold = r.usesRamp() && ts.cold(now)
+	res.RetryAfterMs = (ts.notices.holdWait(now) + time.Millisecond - 1).Milliseconds()
 	if res.Incarnation == "" {
 		res.Incarnation = ts.ramp.Incarnation()
 	}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -13,6 +13,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/lease"
 	"github.com/knapweedpoint/knapweedpoint/internal/peerpb"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetnotice"
 	"github.com/knapweedpoint/knapweedpoint/pkg/target"
 )
 
@@ -54,6 +55,8 @@
 	switch {
 	case reason != "":
 		return reason
+	case ts.notices.blockedReason(now) != "":
+		return ts.notices.blockedReason(now)
 	case now.Before(ts.downUntil):
 		return ReasonDown
 	case r.usesLeases() && ts.cold(now) && r.leases.Refused(ts.target.Name, now):
@@ -87,6 +90,10 @@
 			return nil, time.Time{}
 		}
 	}
+	if ts.notices.active().Unanswered() {
+		batchLimit = 1
+	}
+	ts.notices.active().CountSend(now)
 	ts.inFlight++
 	ts.peakInFlight = max(ts.peakInFlight, ts.inFlight)
 	return ts.takeBatch(batchLimit), leaseEnd
@@ -136,7 +143,7 @@
 	})}
 	began := time.Now()
 	reply, err := r.Runner.Run(ctx, ts.address(), b)
-	loss := r.observe(ts, reply, err, time.Since(began))
+	loss := r.observe(ts, reply, err, began)
 	if loss != "" {
 		r.reportSuspects(batch, loss)
 	}
@@ -152,8 +159,9 @@
 
 // observe updates the target's state after a request and frees the request's slot. If the connection was lost, it returns
 // a name that identifies the loss.
-func (r *Relay) observe(ts *targetState, reply *target.Reply, err error, took time.Duration) string {
+func (r *Relay) observe(ts *targetState, reply *target.Reply, err error, began time.Time) string {
 	now := time.Now()
+	took := now.Sub(began)
 	loss := ""
 	ts.mu.Lock()
 	before := ts.ramp.StateLabel(now)
@@ -168,6 +176,10 @@
 		ts.ramp = ts.ramp.WithConnectionLoss()
 		ts.downUntil = now.Add(downFor)
 	}
+	var notice targetnotice.Observation
+	if err == nil {
+		notice = ts.notices.observe(reply, began, now)
+	}
 	after := ts.ramp.StateLabel(now)
 	name := ts.target.Name
 	if errorx.IsOfType(err, target.Lost) {
@@ -176,6 +188,9 @@
 	}
 	ts.mu.Unlock()
 	r.logChange(name, before, after, err)
+	if err == nil {
+		r.logNotice(ts, reply, notice)
+	}
 	return loss
 }
 
--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -19,6 +19,10 @@
 	Slots        int    `json:"slots"`
 	TypicalUs    int64  `json:"typicalUs"`
 	Leased       bool   `json:"leased"`
+	// LeftOut is why the target is not sent to: ReasonLeaving, ReasonHoldsOff or empty.
+	LeftOut string `json:"leftOut,omitempty"`
+	// HoldMs is the time that remains of the target's hold.
+	HoldMs int64 `json:"holdMs,omitempty"`
 }
 
 // Status returns the state of the relay's targets, sorted by name.
@@ -33,6 +37,7 @@
 			InFlight: ts.inFlight, PeakInFlight: ts.peakInFlight, Queued: len(ts.queue), Slots: ts.service.Slots,
 			TypicalUs: ts.ramp.Typical().Microseconds(),
 			Leased:    !r.leases.HeldUntil(ts.target.Name, now).IsZero(),
+			LeftOut:   ts.notices.blockedReason(now), HoldMs: ts.notices.holdWait(now).Milliseconds(),
 		})
 		ts.mu.Unlock()
 	}
--- a/internal/relay/targetstate.go
+++ b/internal/relay/targetstate.go
@@ -9,6 +9,7 @@
 
 	"github.com/knapweedpoint/knapweedpoint/internal/coldstart"
 	"github.com/knapweedpoint/knapweedpoint/internal/peerpb"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetnotice"
 	"github.com/knapweedpoint/knapweedpoint/pkg/settings"
 )
 
@@ -43,6 +44,9 @@
 	peakInFlight int
 	losses       int
 	downUntil    time.Time
+	notices      notices
+	// absentSince is since when the target has not been published.
+	absentSince time.Time
 	// recentServiceTime is the exponentially weighted mean of the service times of recent replies.
 	recentServiceTime time.Duration
 }
@@ -52,6 +56,18 @@
 	return cold
 }
 
+// gone reports whether the target is no longer published. Its notices are kept for a while, in case it is published again.
+func (ts *targetState) gone(published bool, now time.Time) bool {
+	if published {
+		ts.absentSince = time.Time{}
+		return false
+	}
+	if ts.absentSince.IsZero() {
+		ts.absentSince = now
+	}
+	return ts.notices.blockedReason(now) == "" || now.Sub(ts.absentSince) >= targetnotice.AbsentRetention
+}
+
 func (ts *targetState) address() string {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
--- a/internal/replicaselect/tracker.go
+++ b/internal/replicaselect/tracker.go
@@ -15,6 +15,9 @@
 	ShedFor = 100 * time.Millisecond
 	// StaleAfter is how long a target's statistics are used after their latest update.
 	StaleAfter = 5 * time.Second
+	// LeftOutFor is how long a target that is leaving or holds off is left out without asking its relay again, which
+	// alone knows for how long it applies.
+	LeftOutFor = 500 * time.Millisecond
 	// InitialServiceTime is the service time assumed for a target without statistics.
 	InitialServiceTime = 5 * time.Millisecond
 
@@ -39,7 +42,11 @@
 	// WarmIncarnation is the incarnation that was last seen warm; empty for none.
 	WarmIncarnation string
 	DownUntil       time.Time
-	UpdatedAt       time.Time
+	// LeftOutUntil is until when the target is not selected, because it is leaving or holds off.
+	LeftOutUntil time.Time
+	// HoldUntil is the end of the target's hold; it is zero if the target has asked for none.
+	HoldUntil time.Time
+	UpdatedAt time.Time
 }
 
 // Expected returns the expected latency of a sub-request that is sent now: its service time and the wait for a slot.
@@ -99,6 +106,9 @@
 		return
 	}
 	s.DownUntil = time.Time{}
+	if now.Before(s.HoldUntil) {
+		s.LeftOutUntil, s.HoldUntil = time.Time{}, time.Time{}
+	}
 	s.ServiceTime = max(time.Duration(r.ServiceUs)*time.Microsecond, minServiceTime)
 	s.WarmIncarnation = ""
 	if !r.Cold {
@@ -134,6 +144,22 @@
 	t.entry(target).DownUntil = now.Add(ShedFor)
 }
 
+// MarkLeaving leaves a target out for LeftOutFor.
+func (t *Tracker) MarkLeaving(target string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.entry(target)
+	s.LeftOutUntil, s.HoldUntil = now.Add(LeftOutFor), time.Time{}
+}
+
+// MarkHold leaves a target out until the end of its hold, but no longer than LeftOutFor.
+func (t *Tracker) MarkHold(target string, wait time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.entry(target)
+	s.LeftOutUntil, s.HoldUntil = now.Add(min(wait, LeftOutFor)), now.Add(wait)
+}
+
 func (t *Tracker) entry(target string) *Stats {
 	s := t.stats[target]
 	if s == nil {
--- a/internal/root/answer.go
+++ b/internal/root/answer.go
@@ -39,7 +39,7 @@
 	case q.mayHaveRun:
 		return unknown(q.reason).WithCoverage(q.snap.Name, c)
 	default:
-		return notRun(lo.CoalesceOrEmpty(q.reason, caller.ReasonNoTarget))
+		return notRunFor(lo.CoalesceOrEmpty(q.reason, caller.ReasonNoTarget), q.holdWait)
 	}
 }
 
--- a/internal/root/booking.go
+++ b/internal/root/booking.go
@@ -243,18 +243,20 @@
 		reason = a.handleNotRun(p, res)
 	}
 	a.sendOutcome(&peerpb.ClaimOutcome{Release: true})
-	done <- notRun(reason)
+	done <- notRunFor(q.leftOutReason(p.service, reason, time.Now()))
 }
 
-// handleNotRun records why the booking was not run and pauses before the next target.
+// handleNotRun records why the booking was not run and pauses before the next target, unless its relay sent nothing.
 func (a *attempt) handleNotRun(p *part, res *peerpb.SubResult) string {
 	switch res.Reason {
 	case relay.ReasonDown:
 		a.root.targetStats.MarkDown(res.Target, time.Now())
-	case target.RefusalDraining, relay.ReasonTargetOut, relay.ReasonTargetGone, target.RefusalInvalid:
+	case relay.ReasonLeaving, target.RefusalDraining, relay.ReasonTargetOut, relay.ReasonTargetGone, target.RefusalInvalid:
 		p.attempts[res.Target] = maxAttempts
 	}
-	time.Sleep(retryBackoff)
+	if res.Reason != relay.ReasonLeaving && res.Reason != relay.ReasonHoldsOff {
+		time.Sleep(retryBackoff)
+	}
 	return res.Reason
 }
 
@@ -298,7 +300,7 @@
 		case rep := <-ch:
 			if !rep.unacknowledged {
 				rep.result.Target = c.Target
-				a.root.targetStats.RecordResult(rep.result, rep.arrived)
+				a.root.recordResult(rep.result, rep.arrived)
 				return rep.result, true
 			}
 			if !rep.mayHaveArrived {
--- a/internal/root/gather.go
+++ b/internal/root/gather.go
@@ -26,7 +26,7 @@
 	s.ended = true
 	q.root.targetStats.RecordEnded(s.target)
 	rep.result.Target = s.target
-	q.root.targetStats.RecordResult(rep.result, rep.arrived)
+	q.root.recordResult(rep.result, rep.arrived)
 	if rep.result.Status != peerpb.Status_NOT_RUN {
 		q.mayHaveRun = true
 		s.part.runs++
@@ -133,7 +133,7 @@
 	case target.RefusalInvalid:
 		q.fail(p, res.Reason)
 		return
-	case relay.ReasonTargetOut, relay.ReasonTargetGone, target.RefusalDraining:
+	case relay.ReasonTargetOut, relay.ReasonTargetGone, relay.ReasonLeaving, target.RefusalDraining:
 		p.attempts[s.target] = maxAttempts
 	case target.RefusalShed:
 		q.root.targetStats.MarkShed(s.target, now)
--- a/internal/root/part.go
+++ b/internal/root/part.go
@@ -92,7 +92,7 @@
 	sv := q.team.Services[p.service]
 	var out []replicaselect.Candidate
 	for _, tg := range sv.Targets {
-		if !q.tree.TargetEligible(tg) || p.attempts[tg.Name] >= maxAttempts || p.inFlightOn(tg.Name) || q.reservedFromSuspect(sv, tg) {
+		if !q.selectable(tg, now) || p.attempts[tg.Name] >= maxAttempts || p.inFlightOn(tg.Name) || q.reservedFromSuspect(sv, tg) {
 			continue
 		}
 		relay, ok := q.root.relayOf(q.tree, tg, now)
@@ -125,6 +125,6 @@
 // usableTargets counts the service's targets that accept new work and are not known to be down.
 func (q *query) usableTargets(service string, now time.Time) int {
 	return lo.CountBy(q.team.Services[service].Targets, func(tg settings.Target) bool {
-		return q.tree.TargetEligible(tg) && !now.Before(q.root.targetStats.Stats(tg.Name, now).DownUntil)
+		return q.selectable(tg, now) && !now.Before(q.root.targetStats.Stats(tg.Name, now).DownUntil)
 	})
 }
--- a/internal/root/query.go
+++ b/internal/root/query.go
@@ -60,6 +60,8 @@
 	// snapshotMissing says that for some part no target holds the snapshot.
 	snapshotMissing bool
 	reason          string
+	// holdWait is the time until the first hold ends because of which a part failed.
+	holdWait time.Duration
 }
 
 func newQuery(r *Root, request Question, tree *settings.Tree, team settings.Team, group settings.Group, snap settings.Snapshot, fp uint64, deadline time.Time) *query {
@@ -251,7 +253,9 @@
 	}
 	p.closed = true
 	q.openParts--
+	reason, wait := q.leftOutReason(p.service, reason, time.Now())
 	q.reason = reason
+	q.holdWait = shorter(q.holdWait, wait)
 	q.snapshotMissing = q.snapshotMissing || p.snapshotMissing
 	var remaining []settings.Partition
 	for _, x := range p.partitions {
--- a/pkg/caller/message.go
+++ b/pkg/caller/message.go
@@ -18,6 +18,8 @@
 	ReasonStaleView      = "staleView"
 	ReasonStopping       = "stopping"
 	ReasonNoTarget       = "noTarget"
+	ReasonTargetsHoldOff = "targetsHoldOff"
+	ReasonTargetsLeaving = "targetsLeaving"
 	ReasonQuarantined    = "quarantined"
 	ReasonDeadline       = "deadline"
 	ReasonConnectionLost = "connectionLost"
--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -18,8 +18,10 @@
 	MaxReplyBytes = 16 << 20
 	// maxHeadBytes bounds the headers of one reply; targets send a few hundred bytes.
 	maxHeadBytes = 64 << 10
-	dialTimeout  = 250 * time.Millisecond
-	idleTimeout  = 5 * time.Minute
+	// maxHealthBytes bounds one answer to a question for health.
+	maxHealthBytes = 4 << 10
+	dialTimeout    = 250 * time.Millisecond
+	idleTimeout    = 5 * time.Minute
 )
 
 // Client is a Runner over HTTP; its zero value is ready to use.
@@ -55,6 +57,27 @@
 	return DecodeReply(data, b)
 }
 
+// Health reads the target's health.
+func (c *Client) Health(ctx context.Context, address string) (Health, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathHealth, nil)
+	if err != nil {
+		return Health{}, NotSent.Wrap(err, "build request")
+	}
+	resp, err := c.http().Do(req)
+	if err != nil {
+		return Health{}, wrapError(ctx, err, true)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return Health{}, Malformed.New("health has status %d", resp.StatusCode)
+	}
+	var h Health
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxHealthBytes)).Decode(&h); err != nil {
+		return Health{}, Malformed.Wrap(err, "health is not JSON")
+	}
+	return h, nil
+}
+
 func (c *Client) http() *http.Client {
 	if h := c.client.Load(); h != nil {
 		return h
--- a/pkg/target/failure.go
+++ b/pkg/target/failure.go
@@ -22,9 +22,11 @@
 	Malformed = namespace.NewType("malformed")
 )
 
-// Runner runs batches on targets; every error has one of the error types of this package.
+// Runner runs batches on targets; every error of Run has one of the error types of this package.
 type Runner interface {
 	Run(ctx context.Context, address string, b *Batch) (*Reply, error)
+	// Health asks the target for its health, which takes no slot.
+	Health(ctx context.Context, address string) (Health, error)
 }
 
 // wrapError wraps the error of a failed call in the type that matches how far the batch had come.
--- a/pkg/target/message.go
+++ b/pkg/target/message.go
@@ -60,10 +60,20 @@
 	Load Load `json:"load"`
 	// Refusal, when set, means that no request of the batch was run.
 	Refusal string `json:"refusal,omitempty"`
+	// Leaving says that the target is shutting down: this incarnation wants no further batch. RefusalDraining says the
+	// same.
+	Leaving bool `json:"leaving,omitempty"`
+	// RetryAfter, in a refusal, is the time in seconds for which the target wants no further batch from the relay.
+	RetryAfter float64 `json:"retryAfter,omitempty"`
+	// Unreadable holds the values of leaving and retryAfter that violate the contract and were ignored, shortened.
+	Unreadable string `json:"-"`
 	// Results holds one result per request, in the order of the batch.
 	Results []Result `json:"results,omitempty"`
 }
 
+// LeavingSaid reports whether the reply says that the target is leaving.
+func (r *Reply) LeavingSaid() bool { return r.Leaving || r.Refusal == RefusalDraining }
+
 // Load is the load that a target reports.
 type Load struct {
 	Slots    int  `json:"slots"`
