--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -32,6 +32,7 @@
 var cases = map[string]func(r *rig) (bool, error){
 	"late-extra-refusal": lateExtraRefusal,
 	"cold-after-cut":     coldAfterCut,
+	"cold-restart":       restartUnderSameID,
 }
 
 func main() {
--- /dev/null
+++ b/review/_rig/restart.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// The deployment of the case and its disruption: all replicas of a service are down for downFor and start again where they
+// were, under their ids and cold.
+const (
+	restartDaemons  = 6
+	restartTargets  = 2
+	restartRate     = 20.0
+	restartBound    = restartRate*1.5 + 5
+	restartWarmup   = 8 * time.Second
+	restartCallers  = 100
+	restartPeriod   = 300 * time.Millisecond
+	restartDeadline = 1500 * time.Millisecond
+	downAt          = 12 * time.Second
+	downFor         = 3 * time.Second
+	// The replicas end restarts times, once in restartEvery.
+	restarts       = 5
+	restartEvery   = 14 * time.Second
+	restartTraffic = 80 * time.Second
+)
+
+// crashFactor is the multiple of the rate that it tolerates at which a cold replica crashes: above the bound of the rule.
+const crashFactor = 2
+
+// coldCounter counts the requests that arrive at a replica while it is cold.
+type coldCounter struct {
+	mu     sync.Mutex
+	recent []time.Time
+	worst  int
+	// crashed is set once the replica has crashed because of its load.
+	crashed atomic.Bool
+}
+
+// add counts an arrival and returns how many there were within the last second.
+func (c *coldCounter) add(at time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recent = append(c.recent, at)
+	for at.Sub(c.recent[0]) >= time.Second {
+		c.recent = c.recent[1:]
+	}
+	c.worst = max(c.worst, len(c.recent))
+	return len(c.recent)
+}
+
+// restartUnderSameID stops the replicas of a service during traffic and starts them again at once, cold, as the processes of
+// one machine start again.
+func restartUnderSameID(r *rig) (bool, error) {
+	r.put("op/config", map[string]any{
+		"version": 1,
+		"routes": []map[string]any{{
+			"name": "job-order", "host": host, "prefix": "/job/", "type": "non_idempotent", "timeout-ms": 1500, "slo-ms": 150,
+			"attempts": 2, "priority": 2, "service": "job-desk",
+		}},
+		"services": []map[string]any{{
+			"name": "job-desk", "max-conns": 208, "health-path": "/health", "warmup-s": restartWarmup.Seconds(), "warmup-per-s": restartRate,
+		}},
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+	})
+	var targets []*target
+	began := sync.Map{}
+	// overloaded is set once a cold replica has crashed because of its load.
+	var overloaded atomic.Bool
+	counters := map[string]*coldCounter{}
+	for i := range restartTargets {
+		t := &target{
+			rig: r, id: fmt.Sprintf("i-%d", i), service: "job-desk", zone: "zone-a", slots: 4, queue: 16,
+			work: func() time.Duration {
+				return 10*time.Millisecond + time.Duration(rand.Int64N(int64(20*time.Millisecond)))
+			},
+		}
+		t.began = func(t *target, q *http.Request) { began.Store(q.Header.Get("X-Request-Id"), t.id) }
+		c := &coldCounter{}
+		counters[t.id] = c
+		t.arrived = func(q *http.Request, at time.Time) {
+			if !t.cold(at) {
+				return
+			}
+			n := c.add(at)
+			r.logf("arrived %s at %s, which is cold: %d within a second", q.Header.Get("X-Request-Id"), t.id, n)
+			if n > crashFactor*restartRate && c.crashed.CompareAndSwap(false, true) {
+				overloaded.Store(true)
+				r.logf("%s crashes: it tolerates %g requests a second", t.id, restartRate)
+				t.crash()
+			}
+		}
+		if err := t.start(r.address(100, i+1)); err != nil {
+			return false, err
+		}
+		targets = append(targets, t)
+	}
+	ds, err := r.startFleet(restartDaemons)
+	if err != nil {
+		return false, err
+	}
+	b := r.newBalancer(ds)
+	startedAt := time.Now()
+	until := startedAt.Add(restartTraffic)
+	var group sync.WaitGroup
+	if r.options.trouble {
+		for _, t := range targets {
+			group.Go(func() {
+				for i := range restarts {
+					time.Sleep(time.Until(startedAt.Add(downAt + time.Duration(i)*restartEvery)))
+					if overloaded.Load() {
+						return
+					}
+					r.logf("%s ends", t.id)
+					t.crash()
+					time.Sleep(downFor)
+					r.logf("%s starts again, cold", t.id)
+					t.setCold(restartWarmup)
+					if err := t.start(""); err != nil {
+						r.logf("target failed: %v", err)
+					}
+				}
+			})
+		}
+	}
+	var mu sync.Mutex
+	counts, lost := map[int]int{}, 0
+	for i := range restartCallers {
+		group.Go(func() {
+			c := r.newCaller(b.pick(nil))
+			for n := 0; time.Now().Before(until) && !overloaded.Load(); n++ {
+				at := time.Now()
+				a := c.send(http.MethodPost, fmt.Sprintf("/job/%d/%d", i, n), "job", restartDeadline)
+				mu.Lock()
+				counts[a.status]++
+				if by, ok := began.Load(a.id); ok && a.status != http.StatusOK && counters[by.(string)].crashed.Load() {
+					lost++
+					r.logf("lost: %s was running at %v and was answered %d", a.id, by, a.status)
+				}
+				mu.Unlock()
+				if a.status == 0 {
+					c = r.newCaller(b.pick(nil))
+				}
+				time.Sleep(time.Until(at.Add(restartPeriod/2 + time.Duration(rand.Int64N(int64(restartPeriod))))))
+			}
+		})
+	}
+	group.Wait()
+	broken := false
+	for _, t := range targets {
+		c := counters[t.id]
+		line := fmt.Sprintf("%s: at most %d requests within a second while cold, %g are allowed", t.id, c.worst, restartBound)
+		if float64(c.worst) > restartBound {
+			line, broken = "FAILBACK "+line, true
+		}
+		r.logf("%s", line)
+		fmt.Println(line)
+	}
+	r.logf("attempts by status %v; lost in crashes because of the load %d", counts, lost)
+	fmt.Printf("attempts by status %v; lost in crashes because of the load %d\n", counts, lost)
+	return broken, nil
+}
--- a/review/_rig/target.go
+++ b/review/_rig/target.go
@@ -42,33 +42,55 @@
 	writes    int
 }
 
-// start listens, serves and publishes the target's entry.
+// start listens, serves and publishes the target's entry. Without an ip it starts again at its address.
 func (t *target) start(ip string) error {
-	l, err := net.Listen("tcp4", ip+":0")
+	address := ip + ":0"
+	if ip == "" {
+		address = t.listener.Addr().String()
+	}
+	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return err
 	}
+	t.mu.Lock()
 	t.listener, t.stop, t.freed = l, make(chan struct{}), make(chan struct{}, 1)
-	t.conns = map[net.Conn]struct{}{}
+	t.conns, t.writes, t.running, t.waiting = map[net.Conn]struct{}{}, 0, 0, 0
 	t.born = time.Now().UnixMilli()
-	go t.accept()
-	go t.publish()
+	stop := t.stop
+	t.mu.Unlock()
+	t.write()
+	go t.accept(l)
+	go t.publish(stop)
 	t.rig.onClose(func() { _ = l.Close() })
 	t.rig.logf("target %s of %s at %s", t.id, t.service, l.Addr())
 	return nil
 }
 
-func (t *target) publish() {
+func (t *target) publish(stop chan struct{}) {
 	for {
-		t.write()
 		select {
-		case <-t.stop:
+		case <-stop:
 			return
 		case <-time.After(heartbeat):
+			t.write()
 		}
 	}
 }
 
+// setCold makes the target cold for the given time, from its next entry on.
+func (t *target) setCold(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.coldUntil = time.Now().Add(d)
+}
+
+// cold reports whether the target is cold.
+func (t *target) cold(at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return at.Before(t.coldUntil)
+}
+
 // write writes the target's entry to the store.
 func (t *target) write() {
 	t.mu.Lock()
@@ -81,17 +103,20 @@
 	t.rig.put("servers/"+t.id, entry)
 }
 
-// turnCold makes the target cold for the given time and publishes that.
-func (t *target) turnCold(d time.Duration) {
+// crash closes the listener and all connections; the requests in flight get no answer.
+func (t *target) crash() {
 	t.mu.Lock()
-	t.coldUntil = time.Now().Add(d)
-	t.mu.Unlock()
-	t.write()
+	defer t.mu.Unlock()
+	close(t.stop)
+	_ = t.listener.Close()
+	for c := range t.conns {
+		_ = c.Close()
+	}
 }
 
-func (t *target) accept() {
+func (t *target) accept(l net.Listener) {
 	for {
-		c, err := t.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -100,7 +125,15 @@
 }
 
 func (t *target) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	t.mu.Lock()
+	t.conns[c] = struct{}{}
+	t.mu.Unlock()
+	defer func() {
+		_ = c.Close()
+		t.mu.Lock()
+		delete(t.conns, c)
+		t.mu.Unlock()
+	}()
 	r := bufio.NewReader(c)
 	// late is an extra copy of the previous answer on this connection, which was to the request lateID.
 	var late []byte
@@ -147,11 +180,12 @@
 	if ms, err := strconv.Atoi(q.Header.Get("X-Deadline-Ms")); err == nil {
 		deadline = at.Add(time.Duration(ms) * time.Millisecond)
 	}
-	if !t.enter(deadline) {
+	born, ok := t.enter(deadline)
+	if !ok {
 		t.rig.logf("refused %s by %s", id, t.id)
 		return t.answer("503 Service Unavailable", q, "X-Not-Run: 1\r\n", "")
 	}
-	defer t.leave()
+	defer t.leave(born)
 	t.rig.logf("run %s %s %s by %s", id, q.Method, q.RequestURI, t.id)
 	if t.began != nil {
 		t.began(t, q)
@@ -166,34 +200,44 @@
 	return t.answer("200 OK", q, stamp, "done by "+t.id)
 }
 
-// enter waits for a slot. It returns false if the queue is full, or the deadline passes in it.
-func (t *target) enter(deadline time.Time) bool {
+// enter waits for a slot and returns the start of the target that it belongs to. It returns false if the queue is full, or
+// the deadline passes in it.
+func (t *target) enter(deadline time.Time) (int64, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	born := t.born
 	if t.running >= t.slots && t.waiting >= t.queue {
-		return false
+		return 0, false
 	}
 	t.waiting++
-	defer func() { t.waiting-- }()
-	for t.running >= t.slots {
-		if time.Now().After(deadline) {
-			return false
-		}
+	for born == t.born && t.running >= t.slots && time.Now().Before(deadline) {
+		freed := t.freed
 		t.mu.Unlock()
 		select {
-		case <-t.freed:
+		case <-freed:
 		case <-time.After(5 * time.Millisecond):
 		}
 		t.mu.Lock()
 	}
+	if born != t.born {
+		return 0, false
+	}
+	t.waiting--
+	if t.running >= t.slots {
+		return 0, false
+	}
 	t.running++
-	return true
+	return born, true
 }
 
-func (t *target) leave() {
+// leave frees a slot, unless the target has ended since the slot was taken.
+func (t *target) leave(born int64) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
+	if born != t.born {
+		return
+	}
 	t.running--
-	t.mu.Unlock()
 	select {
 	case t.freed <- struct{}{}:
 	default:
