--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -33,6 +33,7 @@
 	"late-extra-refusal": lateExtraRefusal,
 	"cold-after-cut":     coldAfterCut,
 	"cold-restart":       restartUnderSameID,
+	"turn-cold":          turnCold,
 }
 
 func main() {
--- a/review/_rig/restart.go
+++ b/review/_rig/restart.go
@@ -52,9 +52,31 @@
 	return len(c.recent)
 }
 
-// restartUnderSameID stops the replicas of a service during traffic and starts them again at once, cold, as the processes of
-// one machine start again.
+// restartUnderSameID stops the replicas of a service during traffic and starts them again, cold, under their ids.
 func restartUnderSameID(r *rig) (bool, error) {
+	return loadCold(r, func(t *target) error {
+		r.logf("%s ends", t.id)
+		t.crash()
+		time.Sleep(downFor)
+		r.logf("%s starts again, cold", t.id)
+		t.setCold(restartWarmup)
+		return t.start("")
+	})
+}
+
+// turnCold lets the replicas of a service become cold again while they run. Their entries say so at once.
+func turnCold(r *rig) (bool, error) {
+	return loadCold(r, func(t *target) error {
+		t.setCold(restartWarmup)
+		t.write()
+		r.logf("%s is cold, and its entry says so", t.id)
+		return nil
+	})
+}
+
+// loadCold keeps a service busy, applies the disruption to its replicas some times, and counts what they get while they are
+// cold.
+func loadCold(r *rig, disrupt func(t *target) error) (bool, error) {
 	r.put("op/config", map[string]any{
 		"version": 1,
 		"routes": []map[string]any{{
@@ -114,12 +136,7 @@
 					if overloaded.Load() {
 						return
 					}
-					r.logf("%s ends", t.id)
-					t.crash()
-					time.Sleep(downFor)
-					r.logf("%s starts again, cold", t.id)
-					t.setCold(restartWarmup)
-					if err := t.start(""); err != nil {
+					if err := disrupt(t); err != nil {
 						r.logf("target failed: %v", err)
 					}
 				}
