--- a/review/_rig/restart.go
+++ b/review/_rig/load.go
@@ -9,23 +9,25 @@
 	"time"
 )
 
-// The deployment of the case and its disruption: all replicas of a service are down for downFor and start again where they
-// were, under their ids and cold.
+// The deployment of the cases with cold replicas: one service, kept at two thirds of what it can do when warm.
 const (
-	restartDaemons  = 6
-	restartTargets  = 2
-	restartRate     = 20.0
-	restartBound    = restartRate*1.5 + 5
-	restartWarmup   = 8 * time.Second
-	restartCallers  = 100
-	restartPeriod   = 300 * time.Millisecond
-	restartDeadline = 1500 * time.Millisecond
-	downAt          = 12 * time.Second
-	downFor         = 3 * time.Second
-	// The replicas end restarts times, once in restartEvery.
-	restarts       = 5
-	restartEvery   = 14 * time.Second
-	restartTraffic = 80 * time.Second
+	loadDaemons  = 6
+	loadTargets  = 2
+	loadSlots    = 6
+	loadQueue    = 16
+	loadCallers  = 130
+	loadPeriod   = 320 * time.Millisecond
+	loadDeadline = 1500 * time.Millisecond
+	loadTraffic  = 90 * time.Second
+	// loadRate is warmup-per-s, and loadWarmup is warmup-s.
+	loadRate   = 20.0
+	loadBound  = loadRate*1.5 + 5
+	loadWarmup = 6 * time.Second
+	// The disruption comes disruptions times, from disruptAt on, once in disruptEvery. Replicas that end are down for downFor.
+	disruptions  = 7
+	disruptAt    = 12 * time.Second
+	disruptEvery = 11 * time.Second
+	downFor      = 3 * time.Second
 )
 
 // crashFactor is the multiple of the rate that it tolerates at which a cold replica crashes: above the bound of the rule.
@@ -59,7 +61,7 @@
 		t.crash()
 		time.Sleep(downFor)
 		r.logf("%s starts again, cold", t.id)
-		t.setCold(restartWarmup)
+		t.setCold(loadWarmup)
 		return t.start("")
 	})
 }
@@ -67,7 +69,7 @@
 // turnCold lets the replicas of a service become cold again while they run. Their entries say so at once.
 func turnCold(r *rig) (bool, error) {
 	return loadCold(r, func(t *target) error {
-		t.setCold(restartWarmup)
+		t.setCold(loadWarmup)
 		t.write()
 		r.logf("%s is cold, and its entry says so", t.id)
 		return nil
@@ -84,7 +86,7 @@
 			"attempts": 2, "priority": 2, "service": "job-desk",
 		}},
 		"services": []map[string]any{{
-			"name": "job-desk", "max-conns": 208, "health-path": "/health", "warmup-s": restartWarmup.Seconds(), "warmup-per-s": restartRate,
+			"name": "job-desk", "max-conns": 208, "health-path": "/health", "warmup-s": loadWarmup.Seconds(), "warmup-per-s": loadRate,
 		}},
 		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 	})
@@ -92,26 +94,26 @@
 	began := sync.Map{}
 	// overloaded is set once a cold replica has crashed because of its load.
 	var overloaded atomic.Bool
-	counters := map[string]*coldCounter{}
-	for i := range restartTargets {
+	counters := map[*target]*coldCounter{}
+	for i := range loadTargets {
 		t := &target{
-			rig: r, id: fmt.Sprintf("i-%d", i), service: "job-desk", zone: "zone-a", slots: 4, queue: 16,
+			rig: r, id: fmt.Sprintf("i-%d", i), service: "job-desk", zone: "zone-a", slots: loadSlots, queue: loadQueue,
 			work: func() time.Duration {
 				return 10*time.Millisecond + time.Duration(rand.Int64N(int64(20*time.Millisecond)))
 			},
 		}
-		t.began = func(t *target, q *http.Request) { began.Store(q.Header.Get("X-Request-Id"), t.id) }
+		t.began = func(t *target, q *http.Request) { began.Store(q.Header.Get("X-Request-Id"), t) }
 		c := &coldCounter{}
-		counters[t.id] = c
+		counters[t] = c
 		t.arrived = func(q *http.Request, at time.Time) {
 			if !t.cold(at) {
 				return
 			}
 			n := c.add(at)
 			r.logf("arrived %s at %s, which is cold: %d within a second", q.Header.Get("X-Request-Id"), t.id, n)
-			if n > crashFactor*restartRate && c.crashed.CompareAndSwap(false, true) {
+			if n > crashFactor*loadRate && c.crashed.CompareAndSwap(false, true) {
 				overloaded.Store(true)
-				r.logf("%s crashes: it tolerates %g requests a second", t.id, restartRate)
+				r.logf("%s crashes: it tolerates %g requests a second", t.id, loadRate)
 				t.crash()
 			}
 		}
@@ -120,19 +122,19 @@
 		}
 		targets = append(targets, t)
 	}
-	ds, err := r.startFleet(restartDaemons)
+	ds, err := r.startFleet(loadDaemons)
 	if err != nil {
 		return false, err
 	}
 	b := r.newBalancer(ds)
 	startedAt := time.Now()
-	until := startedAt.Add(restartTraffic)
+	until := startedAt.Add(loadTraffic)
 	var group sync.WaitGroup
 	if r.options.trouble {
 		for _, t := range targets {
 			group.Go(func() {
-				for i := range restarts {
-					time.Sleep(time.Until(startedAt.Add(downAt + time.Duration(i)*restartEvery)))
+				for i := range disruptions {
+					time.Sleep(time.Until(startedAt.Add(disruptAt + time.Duration(i)*disruptEvery)))
 					if overloaded.Load() {
 						return
 					}
@@ -145,32 +147,32 @@
 	}
 	var mu sync.Mutex
 	counts, lost := map[int]int{}, 0
-	for i := range restartCallers {
+	for i := range loadCallers {
 		group.Go(func() {
 			c := r.newCaller(b.pick(nil))
 			for n := 0; time.Now().Before(until) && !overloaded.Load(); n++ {
 				at := time.Now()
-				a := c.send(http.MethodPost, fmt.Sprintf("/job/%d/%d", i, n), "job", restartDeadline)
+				a := c.send(http.MethodPost, fmt.Sprintf("/job/%d/%d", i, n), "job", loadDeadline)
 				mu.Lock()
 				counts[a.status]++
-				if by, ok := began.Load(a.id); ok && a.status != http.StatusOK && counters[by.(string)].crashed.Load() {
+				if by, ok := began.Load(a.id); ok && a.status != http.StatusOK && counters[by.(*target)].crashed.Load() {
 					lost++
-					r.logf("lost: %s was running at %v and was answered %d", a.id, by, a.status)
+					r.logf("lost: %s was running at %v and was answered %d", a.id, by.(*target).id, a.status)
 				}
 				mu.Unlock()
 				if a.status == 0 {
 					c = r.newCaller(b.pick(nil))
 				}
-				time.Sleep(time.Until(at.Add(restartPeriod/2 + time.Duration(rand.Int64N(int64(restartPeriod))))))
+				time.Sleep(time.Until(at.Add(loadPeriod/2 + time.Duration(rand.Int64N(int64(loadPeriod))))))
 			}
 		})
 	}
 	group.Wait()
 	broken := false
 	for _, t := range targets {
-		c := counters[t.id]
-		line := fmt.Sprintf("%s: at most %d requests within a second while cold, %g are allowed", t.id, c.worst, restartBound)
-		if float64(c.worst) > restartBound {
+		c := counters[t]
+		line := fmt.Sprintf("%s: at most %d requests within a second while cold, %g are allowed", t.id, c.worst, loadBound)
+		if float64(c.worst) > loadBound {
 			line, broken = "FAILBACK "+line, true
 		}
 		r.logf("%s", line)
