--- a/review/_rig/late.go
+++ b/review/_rig/late.go
@@ -8,27 +8,28 @@
 	"time"
 )
 
-// The deployment of the case: 36 daemons and one service with the replicas, slots,
-// connections and work of a shard of visit-finder on the site vtn-zoek.
+// The deployment of the case: 36 daemons and six services, each with the replicas, slots, connections and work of a shard of
+// visit-finder on the site vtn-zoek.
 const (
 	lateDaemons  = 36
+	lateServices = 6
 	lateTargets  = 2
 	lateSlots    = 2
 	lateQueue    = 4
 	lateCallers  = 66
 	latePeriod   = 360 * time.Millisecond
 	lateDeadline = 1500 * time.Millisecond
-	// garbleShare of the targets (the site's largest is 0.6) send an extra copy of garbleAnswers of their answers (0.04), in periods of
-	// garbleFor (5 s).
+	// garbleShare of the targets (the site's largest is 0.6) send an extra copy of garbleAnswers of their answers (0.04), in
+	// periods of garbleFor (5 s).
 	garbleShare   = 0.5
 	garbleAnswers = 0.04
 	garbleFor     = 5 * time.Second
 	garblePause   = 1 * time.Second
-	lateTraffic   = 100 * time.Second
+	lateTraffic   = 60 * time.Second
 )
 
-// lateExtraRefusal sends requests that may run once to a service whose targets are often full and, for some seconds at a
-// time, send extra copies of some answers late.
+// lateExtraRefusal sends requests that may run once to services whose targets are often full. Half of the targets, for some
+// seconds at a time, send extra copies of some answers late.
 func lateExtraRefusal(r *rig) (bool, error) {
 	runs := struct {
 		sync.Mutex
@@ -38,9 +39,9 @@
 		sync.Mutex
 		on bool
 	}
-	for i := range lateTargets {
+	for i := range lateServices * lateTargets {
 		t := &target{
-			rig: r, id: fmt.Sprintf("i-%d", i), service: "subsidy-check", zone: "zone-a", slots: lateSlots, queue: lateQueue,
+			rig: r, id: fmt.Sprintf("i-%d", i), service: fmt.Sprintf("job-desk-%d", i%lateServices), zone: "zone-a", slots: lateSlots, queue: lateQueue,
 			work: func() time.Duration {
 				return 10*time.Millisecond + time.Duration(rand.Int64N(int64(20*time.Millisecond)))
 			},
@@ -51,7 +52,7 @@
 				runs.by[id] = append(runs.by[id], t.id)
 			},
 		}
-		if float64(i+1) <= garbleShare*lateTargets {
+		if float64(i+1) <= garbleShare*lateServices*lateTargets {
 			t.extra = func() bool {
 				garbling.Lock()
 				defer garbling.Unlock()
@@ -62,14 +63,18 @@
 			return false, err
 		}
 	}
+	var routes, services []map[string]any
+	for i := range lateServices {
+		name := fmt.Sprintf("job-desk-%d", i)
+		routes = append(routes, map[string]any{
+			"name": "job-order-" + name, "host": host, "prefix": "/" + name + "/", "type": "non_idempotent", "timeout-ms": 1500,
+			"slo-ms": 150, "attempts": 2, "priority": 2, "service": name,
+		})
+		services = append(services, map[string]any{"name": name, "max-conns": 54, "health-path": "/health"})
+	}
 	r.put("op/config", map[string]any{
-		"version": 1,
-		"routes": []map[string]any{{
-			"name": "job-order", "host": host, "prefix": "/card/", "type": "non_idempotent", "timeout-ms": 1500, "slo-ms": 150,
-			"attempts": 2, "priority": 2, "service": "subsidy-check",
-		}},
-		"services": []map[string]any{{"name": "subsidy-check", "max-conns": 54, "health-path": "/health"}},
-		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"version": 1, "routes": routes, "services": services,
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 	})
 	ds, err := r.startFleet(lateDaemons)
 	if err != nil {
@@ -99,14 +104,14 @@
 		by map[string]reply
 	}{by: map[string]reply{}}
 	var group sync.WaitGroup
-	for i := range lateCallers {
+	for i := range lateServices * lateCallers {
 		group.Add(1)
 		go func() {
 			defer group.Done()
 			c := r.newCaller(b.pick(nil))
 			for n := 0; time.Now().Before(until); n++ {
 				began := time.Now()
-				a := c.send(http.MethodPost, fmt.Sprintf("/card/%d/%d", i, n), "job card", lateDeadline)
+				a := c.send(http.MethodPost, fmt.Sprintf("/job-desk-%d/%d/%d", i%lateServices, i, n), "job", lateDeadline)
 				answers.Lock()
 				answers.by[a.id] = a
 				answers.Unlock()
@@ -115,7 +120,7 @@
 					// One retry, as told, with a new attempt on a new connection to another daemon.
 					time.Sleep(a.retryAfter)
 					other := r.newCaller(b.pick(c.daemon))
-					a = other.send(http.MethodPost, fmt.Sprintf("/card/%d/%d", i, n), "job card", lateDeadline-time.Since(began))
+					a = other.send(http.MethodPost, fmt.Sprintf("/job-desk-%d/%d/%d", i%lateServices, i, n), "job", lateDeadline-time.Since(began))
 					answers.Lock()
 					answers.by[a.id] = a
 					answers.Unlock()
