--- a/review/_rig/rig.go
+++ b/review/_rig/rig.go
@@ -81,17 +81,17 @@
 	return nil
 }
 
-// choosePorts chooses ports that are free on all loopback addresses.
+// choosePorts chooses ports that are free at the first daemon's address. No one else uses the addresses of this run.
 func (r *rig) choosePorts() error {
 	var chosen []int
 	for range 5 {
-		l, err := net.Listen("tcp4", "0.0.0.0:0")
+		l, err := net.Listen("tcp4", r.address(1, 1)+":0")
 		if err != nil {
 			return err
 		}
 		defer func() { _ = l.Close() }()
 		port := l.Addr().(*net.TCPAddr).Port
-		u, err := net.ListenPacket("udp4", fmt.Sprintf("0.0.0.0:%d", port))
+		u, err := net.ListenPacket("udp4", fmt.Sprintf("%s:%d", r.address(1, 1), port))
 		if err != nil {
 			return err
 		}
