Review: daemons that start at the return of a zone give its cold replicas the load of warm ones

Looked for: what a daemon knows only from its own past and loses when it starts again. The gate counts the targets of a zone that is back as cold for 5.4 s, because their entries say it only with the next heartbeat; a daemon that starts after the return does not know that the zone was out.

Three of six daemons are killed at once within half a second of the return of a zone, nine times.

--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -34,6 +34,7 @@
 	"cold-after-cut":     coldAfterCut,
 	"cold-restart":       restartUnderSameID,
 	"turn-cold":          turnCold,
+	"restart-at-return":  restartAtReturn,
 }
 
 func main() {
