Review: the cold replicas of the cases stay cold for three seconds, as the site says

The cases had warmup-s of 45, 6 and 5 s; the site's services have 3. The replica of review/4 starts while the daemon is cut off, instead of staying cold for long.

--- a/review/_rig/cold.go
+++ b/review/_rig/cold.go
@@ -17,7 +17,7 @@
 	coldDaemons  = 6
 	coldRate     = 20.0
 	coldBound    = coldRate*1.5 + 5
-	coldWarmup   = 45 * time.Second
+	coldWarmup   = 3 * time.Second
 	coldCallers  = 60
 	coldPeriod   = 340 * time.Millisecond
 	coldDeadline = 1500 * time.Millisecond
@@ -25,6 +25,8 @@
 	killFor      = 3500 * time.Millisecond
 	cutFor       = 5500 * time.Millisecond
 	coldTraffic  = 32 * time.Second
+	// replicaAt is when the replica starts: while the daemon is cut off.
+	replicaAt = killAt + killFor + 2800*time.Millisecond
 	// reconnectAfter is the number of requests after which a caller opens a new connection.
 	reconnectAfter = 8
 )
@@ -92,7 +94,7 @@
 	_, _ = io.Copy(c, s)
 }
 
-// coldAfterCut lets a replica of a service start during traffic, and kills and cuts off one daemon while it is cold.
+// coldAfterCut kills one daemon, cuts it off at its return, and lets a replica of a service start, cold, meanwhile.
 func coldAfterCut(r *rig) (bool, error) {
 	var arrivals struct {
 		sync.Mutex
@@ -110,6 +112,9 @@
 		began: func(_ *target, q *http.Request) { ran.Store(q.Header.Get("X-Request-Id"), true) },
 	}
 	t.arrived = func(q *http.Request, at time.Time) {
+		if !t.cold(at) {
+			return
+		}
 		arrivals.Lock()
 		arrivals.at = append(arrivals.at, at)
 		for len(arrivals.at) > 0 && at.Sub(arrivals.at[0]) >= time.Second {
@@ -185,7 +190,7 @@
 	}
 	group.Go(func() {
 		// The replica starts during traffic, cold from its first entry on.
-		time.Sleep(4 * time.Second)
+		time.Sleep(time.Until(began.Add(replicaAt)))
 		t.setCold(coldWarmup)
 		if err := t.start(r.address(100, 1)); err != nil {
 			r.logf("target failed: %v", err)
--- a/review/_rig/load.go
+++ b/review/_rig/load.go
@@ -22,7 +22,7 @@
 	// loadRate is warmup-per-s, and loadWarmup is warmup-s.
 	loadRate   = 20.0
 	loadBound  = loadRate*1.5 + 5
-	loadWarmup = 6 * time.Second
+	loadWarmup = 3 * time.Second
 	// The disruption comes disruptions times, from disruptAt on, once in disruptEvery. Replicas that end are down for downFor.
 	disruptions  = 7
 	disruptAt    = 12 * time.Second
--- a/review/_rig/zone.go
+++ b/review/_rig/zone.go
@@ -21,7 +21,7 @@
 	zoneTraffic  = 100 * time.Second
 	zoneRate     = 20.0
 	zoneBound    = zoneRate*1.5 + 5
-	zoneWarmup   = 5 * time.Second
+	zoneWarmup   = 3 * time.Second
 	// Zone a is taken out returns times, from zoneOutAt on, once in zoneOutEvery, for zoneOutFor.
 	returns      = 9
 	zoneOutAt    = 6 * time.Second
