--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -35,6 +35,8 @@
 	"cold-restart":       restartUnderSameID,
 	"turn-cold":          turnCold,
 	"restart-at-return":  restartAtReturn,
+	"raised-limit":       raisedLimit,
+	"change-lost":        changeLost,
 }
 
 func main() {
--- a/review/_rig/rig.go
+++ b/review/_rig/rig.go
@@ -234,6 +234,15 @@
 	<-done
 }
 
+// signal sends a signal to the daemon's process.
+func (d *daemon) signal(s syscall.Signal) {
+	d.mu.Lock()
+	c := d.command
+	d.mu.Unlock()
+	d.rig.logf("%v %s", s, d.name)
+	_ = c.Process.Signal(s)
+}
+
 // ready asks the daemon for its readiness as the platform does.
 func (d *daemon) ready() bool {
 	c := http.Client{Timeout: time.Second}
