Review rig: a restarted gatherer runs a call again

Looked for: what a daemon does with a call that is sent again after its process was killed and started anew.

--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -37,6 +37,7 @@
 	"restart-at-return":  restartAtReturn,
 	"raised-limit":       raisedLimit,
 	"change-lost":        changeLost,
+	"call-again":         callAgain,
 }
 
 func main() {
