--- a/review/_rig/again.go
+++ b/review/_rig/again.go
@@ -67,7 +67,7 @@
 	r.put("op/config", map[string]any{
 		"version": 1,
 		"routes": []map[string]any{{
-			"name": "history-report", "host": host, "prefix": "/history/", "type": "idempotent", "timeout-ms": 6000, "slo-ms": 2000,
+			"name": "history-report", "host": host, "prefix": "/history/", "type": "idempotent", "timeout-ms": 6000, "slo-ms": 1000,
 			"attempts": againAttempts, "priority": 1, "gather": shards, "top-k": 20, "min-coverage": 0.75,
 		}},
 		"services": services,
--- a/review/_rig/caller.go
+++ b/review/_rig/caller.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -79,6 +80,10 @@
 	status     int
 	stamp      string
 	retryAfter time.Duration
+	// parts are the signatures in X-Part-Stamps, missing the number in X-Missing-Parts, and body the answer to a search.
+	parts   []string
+	missing string
+	body    []byte
 }
 
 // caller is one client with a connection to one daemon.
@@ -117,15 +122,21 @@
 		return out
 	}
 	defer func() { _ = res.Body.Close() }()
-	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+	if out.body, err = io.ReadAll(res.Body); err != nil {
 		c.rig.logf("broken answer %s: %v", out.id, err)
 		return out
 	}
+	for _, line := range res.Header.Values("X-Part-Stamps") {
+		for part := range strings.SplitSeq(line, ",") {
+			out.parts = append(out.parts, strings.TrimSpace(part))
+		}
+	}
+	out.missing = res.Header.Get("X-Missing-Parts")
 	out.status, out.stamp = res.StatusCode, res.Header.Get("X-Server-Stamp")
 	if s, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64); err == nil {
 		out.retryAfter = time.Duration(s * float64(time.Second))
 	}
-	c.rig.logf("answered %s %d %s", out.id, out.status, out.stamp)
+	c.rig.logf("answered %s %d %s%s", out.id, out.status, out.stamp, strings.Join(out.parts, " "))
 	return out
 }
 
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -38,6 +38,7 @@
 	"raised-limit":       raisedLimit,
 	"change-lost":        changeLost,
 	"call-again":         callAgain,
+	"two-parts":          twoParts,
 }
 
 func main() {
--- a/review/_rig/rig.go
+++ b/review/_rig/rig.go
@@ -167,6 +167,17 @@
 	return d
 }
 
+// silentSeed returns the control address of a machine that is down: nothing answers there.
+func (r *rig) silentSeed(ip string) (string, error) {
+	address := fmt.Sprintf("%s:%d", ip, r.ports.peers)
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return "", err
+	}
+	r.onClose(func() { _ = l.Close() })
+	return address, nil
+}
+
 // settings returns the settings that deploy/entry.json.tmpl gives with the values of the example in DEPLOY.md.
 func (d *daemon) settings(first bool) map[string]any {
 	p := d.rig.ports
--- a/review/_rig/target.go
+++ b/review/_rig/target.go
@@ -26,6 +26,8 @@
 	extra func() bool
 	// arrived, if set, is called with each request that has arrived and is for this target.
 	arrived func(q *http.Request, at time.Time)
+	// records, if set, returns the body of the answer to a request.
+	records func(t *target, id string) string
 	// began is called when the target begins to work on a request.
 	began func(t *target, q *http.Request)
 
@@ -197,7 +199,11 @@
 		time.Sleep(time.Until(deadline))
 		return t.answer("504 Gateway Timeout", q, stamp, "")
 	}
-	return t.answer("200 OK", q, stamp, "done by "+t.id)
+	body := "done by " + t.id
+	if t.records != nil {
+		body = t.records(t, id)
+	}
+	return t.answer("200 OK", q, stamp, body)
 }
 
 // enter waits for a slot and returns the start of the target that it belongs to. It returns false if the queue is full, or
