Review case 1: the script repeats the round

A daemon that wakes may read the store before it handles the waiting pushes; then it has the configuration.

--- a/review/_rig/change.go
+++ b/review/_rig/change.go
@@ -17,15 +17,18 @@
 	// One daemon stands still for freezeFor (the site's node_freeze: count 1, for_s 4). The operator changes the configuration
 	// changeAfter its beginning. The other daemon is killed lostAfter the beginning and is down for lostFor (the site's
 	// node_kill: count 1, for_s up to 3.5).
-	freezeAt    = 8 * time.Second
-	changeAfter = 300 * time.Millisecond
-	lostAfter   = 3 * time.Second
-	lostFor     = 3500 * time.Millisecond
-	freezeFor   = 4 * time.Second
-	// Requests are judged from judgeAfter the return of the killed daemon on: later than contact-ms (4 s), and much later than
-	// config-apply-ms (3 s) after the acknowledgement.
-	judgeAfter    = 6 * time.Second
-	changeTraffic = 50 * time.Second
+	freezeAt    = 5 * time.Second
+	freezeFor   = 2 * time.Second
+	changeAfter = 100 * time.Millisecond
+	lostAfter   = 1800 * time.Millisecond
+	lostFor     = 700 * time.Millisecond
+	// Requests are judged for judgeFor from judgeAfter the return of the killed daemon on: later than contact-ms (4 s), and
+	// later than config-apply-ms (3 s) after the acknowledgement.
+	judgeAfter = 5 * time.Second
+	judgeFor   = 3 * time.Second
+	// All that happens changeRounds times, once in changeRound.
+	changeRounds = 9
+	changeRound  = lostAfter + lostFor + judgeAfter + judgeFor + 500*time.Millisecond
 )
 
 // changeLost changes the configuration while one daemon stands still, and kills the other one before the first goes on.
@@ -63,54 +66,67 @@
 	if err != nil {
 		return false, err
 	}
-	frozen, lost := ds[0], ds[1]
 	b := r.newBalancer(ds)
 	start := time.Now()
-	var ackAt, judgeFrom atomic.Int64
+	// The period in which requests are judged, in nanoseconds since 1970, the service that must run them, and when the version
+	// that says so was acknowledged.
+	var judgeFrom, judgeUntil, ackAt atomic.Int64
+	var service atomic.Value
+	service.Store("desk-old")
 	var group sync.WaitGroup
 	group.Go(func() {
-		time.Sleep(time.Until(start.Add(freezeAt)))
-		if r.options.trouble {
-			frozen.signal(syscall.SIGSTOP)
-		}
-		time.Sleep(changeAfter)
-		configure(2, "desk-new")
-		ackAt.Store(time.Now().UnixNano())
-		time.Sleep(time.Until(start.Add(freezeAt + lostAfter)))
-		if r.options.trouble {
-			lost.kill()
-		}
-		time.Sleep(time.Until(start.Add(freezeAt + freezeFor)))
-		if r.options.trouble {
-			frozen.signal(syscall.SIGCONT)
-		}
-		back := start.Add(freezeAt + lostAfter + lostFor)
-		time.Sleep(time.Until(back))
-		if r.options.trouble {
-			if err := lost.launch(false); err != nil {
-				r.logf("restart failed: %v", err)
+		for i := range changeRounds {
+			at := start.Add(freezeAt + time.Duration(i)*changeRound)
+			frozen, lost := ds[i%2], ds[(i+1)%2]
+			time.Sleep(time.Until(at))
+			if r.options.trouble {
+				frozen.signal(syscall.SIGSTOP)
+			}
+			time.Sleep(changeAfter)
+			service.Store([]string{"desk-new", "desk-old"}[i%2])
+			configure(2+i, service.Load().(string))
+			ackAt.Store(time.Now().UnixNano())
+			time.Sleep(time.Until(at.Add(lostAfter)))
+			if r.options.trouble {
+				lost.kill()
+			}
+			time.Sleep(time.Until(at.Add(freezeFor)))
+			if r.options.trouble {
+				frozen.signal(syscall.SIGCONT)
+			}
+			back := at.Add(lostAfter + lostFor)
+			time.Sleep(time.Until(back))
+			if r.options.trouble {
+				if err := lost.launch(false); err != nil {
+					r.logf("restart failed: %v", err)
+				}
 			}
+			judgeUntil.Store(back.Add(judgeAfter + judgeFor).UnixNano())
+			judgeFrom.Store(back.Add(judgeAfter).UnixNano())
 		}
-		judgeFrom.Store(back.Add(judgeAfter).UnixNano())
 	})
+	end := start.Add(freezeAt + changeRounds*changeRound)
 	var mu sync.Mutex
 	judged, stale := 0, 0
+	staleRounds := map[int64]bool{}
 	var last time.Duration
 	for i := range 4 {
 		group.Go(func() {
-			for n := 0; time.Since(start) < changeTraffic; n++ {
+			for n := 0; time.Now().Before(end); n++ {
 				at := time.Now()
 				c := r.newCaller(b.pick(nil))
 				a := c.send(http.MethodGet, fmt.Sprintf("/card/%d/%d", i, n), "", changeDeadline)
 				c.http.CloseIdleConnections()
-				if from := judgeFrom.Load(); from > 0 && at.UnixNano() > from {
+				if sent := at.UnixNano(); sent > judgeFrom.Load() && sent < judgeUntil.Load() {
 					by, ran := ranBy.Load(a.id)
+					since := time.Duration(sent - ackAt.Load())
 					mu.Lock()
 					judged++
-					if ran && by == "desk-old" {
+					if ran && by != service.Load() {
 						stale++
-						last = max(last, time.Duration(at.UnixNano()-ackAt.Load()))
-						r.logf("CONFIG %s sent %.1f s after the acknowledgement of version 2 to %s was run by desk-old", a.id, float64(at.UnixNano()-ackAt.Load())/1e9, c.daemon.name)
+						staleRounds[ackAt.Load()] = true
+						last = max(last, since)
+						r.logf("CONFIG %s sent %.1f s after the acknowledgement to %s was run by %v", a.id, since.Seconds(), c.daemon.name, by)
 					}
 					mu.Unlock()
 				}
@@ -119,7 +135,7 @@
 		})
 	}
 	group.Wait()
-	line := fmt.Sprintf("%d requests judged, %d of them run by the service of version 1, the last %.1f s after the acknowledgement of version 2", judged, stale, last.Seconds())
+	line := fmt.Sprintf("%d requests judged in %d rounds; in %d rounds %d were run by the service of an earlier version, up to %.1f s after the acknowledgement", judged, changeRounds, len(staleRounds), stale, last.Seconds())
 	r.logf("%s", line)
 	fmt.Println(line)
 	return stale > 0, nil
