--- a/review/_rig/change.go
+++ b/review/_rig/change.go
@@ -9,29 +9,31 @@
 	"time"
 )
 
-// The deployment of the case: two daemons, each in a zone of its own, and a route that the second configuration moves to
-// another service.
+// The deployment of the case: two daemons, two services with two replicas each, and a route that each configuration moves from
+// one service to the other.
 const (
 	changePeriod   = 100 * time.Millisecond
 	changeDeadline = 600 * time.Millisecond
-	// One daemon stands still for freezeFor (the site's node_freeze: count 1, for_s 4). The operator changes the configuration
-	// changeAfter its beginning. The other daemon is killed lostAfter the beginning and is down for lostFor (the site's
-	// node_kill: count 1, for_s up to 3.5).
-	freezeAt    = 5 * time.Second
-	freezeFor   = 2 * time.Second
-	changeAfter = 100 * time.Millisecond
-	lostAfter   = 1800 * time.Millisecond
+	// The daemon that does not read the store stands still for freezeFor (the site's node_freeze: count 1, for_s 4). The
+	// operator changes the configuration changeAfter its beginning. The reader, which is the first daemon as long as both run,
+	// is killed lostAfter the beginning and is down for lostFor (the site's node_kill: count 1, for_s up to 3.5).
+	freezeAt = 5 * time.Second
+	// readSettles is the time for what was read to reach the other daemon.
+	readSettles = 20 * time.Millisecond
+	freezeFor   = 1280 * time.Millisecond
+	changeAfter = 50 * time.Millisecond
+	lostAfter   = 1250 * time.Millisecond
 	lostFor     = 700 * time.Millisecond
 	// Requests are judged for judgeFor from judgeAfter the return of the killed daemon on: later than contact-ms (4 s), and
 	// later than config-apply-ms (3 s) after the acknowledgement.
 	judgeAfter = 5 * time.Second
 	judgeFor   = 3 * time.Second
 	// All that happens changeRounds times, once in changeRound.
-	changeRounds = 9
-	changeRound  = lostAfter + lostFor + judgeAfter + judgeFor + 500*time.Millisecond
+	changeRounds = 4
+	changeRound  = lostAfter + lostFor + judgeAfter + judgeFor + 1500*time.Millisecond
 )
 
-// changeLost changes the configuration while one daemon stands still, and kills the other one before the first goes on.
+// changeLost changes the configuration while one daemon stands still, and kills the other one just before the first goes on.
 func changeLost(r *rig) (bool, error) {
 	configure := func(version int, service string) {
 		r.put("op/config", map[string]any{
@@ -77,8 +79,14 @@
 	group.Go(func() {
 		for i := range changeRounds {
 			at := start.Add(freezeAt + time.Duration(i)*changeRound)
-			frozen, lost := ds[i%2], ds[(i+1)%2]
+			frozen, lost := ds[1], ds[0]
 			time.Sleep(time.Until(at))
+			// The round begins just after a read of the store, which one daemon reads about once a second for both.
+			for range 2 {
+				<-r.reads
+			}
+			time.Sleep(readSettles)
+			at = time.Now()
 			if r.options.trouble {
 				frozen.signal(syscall.SIGSTOP)
 			}
--- a/review/_rig/rig.go
+++ b/review/_rig/rig.go
@@ -30,7 +30,9 @@
 	dir     string
 	store   *fakestore.Store
 	storeAt string
-	ports   ports
+	// reads receives a value after a read of the store, unless one waits already.
+	reads chan struct{}
+	ports ports
 
 	recordMu sync.Mutex
 	record   *bufio.Writer
@@ -75,7 +77,15 @@
 		return err
 	}
 	r.storeAt = l.Addr().String()
-	s := &http.Server{Handler: r.store, ReadHeaderTimeout: 5 * time.Second}
+	r.reads = make(chan struct{}, 1)
+	h := http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r.store.ServeHTTP(w, q)
+		select {
+		case r.reads <- struct{}{}:
+		default:
+		}
+	})
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = s.Serve(l) }()
 	r.onClose(func() { _ = s.Close() })
 	return nil
