--- a/review/_rig/change.go
+++ b/review/_rig/change.go
@@ -9,8 +9,7 @@
 	"time"
 )
 
-// The deployment of the case: two daemons, two services with two replicas each, and a route that each configuration moves from
-// one service to the other.
+// The deployment of the case: two daemons, and a route that each configuration moves to another service with two replicas.
 const (
 	changePeriod   = 100 * time.Millisecond
 	changeDeadline = 600 * time.Millisecond
@@ -35,6 +34,10 @@
 
 // changeLost changes the configuration while one daemon stands still, and kills the other one just before the first goes on.
 func changeLost(r *rig) (bool, error) {
+	var services []map[string]any
+	for i := range changeRounds + 1 {
+		services = append(services, map[string]any{"name": fmt.Sprintf("desk-%d", i), "max-conns": 54, "health-path": "/health"})
+	}
 	configure := func(version int, service string) {
 		r.put("op/config", map[string]any{
 			"version": version,
@@ -42,18 +45,15 @@
 				"name": "job-card", "host": host, "prefix": "/card/", "type": "idempotent", "timeout-ms": 600, "slo-ms": 150,
 				"attempts": 2, "priority": 2, "service": service,
 			}},
-			"services": []map[string]any{
-				{"name": "desk-old", "max-conns": 54, "health-path": "/health"},
-				{"name": "desk-new", "max-conns": 54, "health-path": "/health"},
-			},
-			"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+			"services": services,
+			"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 		})
 		r.logf("version %d acknowledged: the route goes to %s", version, service)
 	}
 	// ranBy maps the ids of requests to the service that ran them.
 	var ranBy sync.Map
-	for i := range 4 {
-		service := []string{"desk-old", "desk-new"}[i/2]
+	for i := range 2 * (changeRounds + 1) {
+		service := fmt.Sprintf("desk-%d", i/2)
 		t := &target{
 			rig: r, id: fmt.Sprintf("i-%d", i), service: service, zone: []string{"zone-a", "zone-b"}[i%2], slots: 4, queue: 12,
 			work:  func() time.Duration { return 20 * time.Millisecond },
@@ -63,7 +63,7 @@
 			return false, err
 		}
 	}
-	configure(1, "desk-old")
+	configure(1, "desk-0")
 	ds, err := r.startFleet(2)
 	if err != nil {
 		return false, err
@@ -74,7 +74,7 @@
 	// that says so was acknowledged.
 	var judgeFrom, judgeUntil, ackAt atomic.Int64
 	var service atomic.Value
-	service.Store("desk-old")
+	service.Store("desk-0")
 	var group sync.WaitGroup
 	group.Go(func() {
 		for i := range changeRounds {
@@ -91,7 +91,7 @@
 				frozen.signal(syscall.SIGSTOP)
 			}
 			time.Sleep(changeAfter)
-			service.Store([]string{"desk-new", "desk-old"}[i%2])
+			service.Store(fmt.Sprintf("desk-%d", i+1))
 			configure(2+i, service.Load().(string))
 			ackAt.Store(time.Now().UnixNano())
 			time.Sleep(time.Until(at.Add(lostAfter)))
