--- a/review/_rig/twoparts.go
+++ b/review/_rig/twoparts.go
@@ -27,8 +27,10 @@
 	// partsRestart.
 	partsKillAt    = 10 * time.Second
 	partsKillEvery = 8 * time.Second
-	partsKills     = 7
-	partsRestart   = 200 * time.Millisecond
+	// partsKillSpread is the range of a random delay of each kill.
+	partsKillSpread = 400 * time.Millisecond
+	partsKills      = 7
+	partsRestart    = 200 * time.Millisecond
 )
 
 // partRecord is the record that the replicas of a shard return for a request. All replicas of a shard return the same.
@@ -97,7 +99,8 @@
 	var group sync.WaitGroup
 	group.Go(func() {
 		for i := range partsKills {
-			time.Sleep(time.Until(start.Add(partsKillAt + time.Duration(i)*partsKillEvery)))
+			// The daemons gossip every 0.4 s, of which partsKillEvery is a multiple; the kills come at any time between.
+			time.Sleep(time.Until(start.Add(partsKillAt + time.Duration(i)*partsKillEvery + time.Duration(rand.Int64N(int64(partsKillSpread))))))
 			if !r.options.trouble {
 				continue
 			}
