--- a/review/_rig/late.go
+++ b/review/_rig/late.go
@@ -8,10 +8,10 @@
 	"time"
 )
 
-// The deployment of the case: 30 daemons, the smallest size of fleetbench sweep, and one service with the replicas, slots,
+// The deployment of the case: 36 daemons and one service with the replicas, slots,
 // connections and work of a shard of visit-finder on the site vtn-zoek.
 const (
-	lateDaemons  = 30
+	lateDaemons  = 36
 	lateTargets  = 2
 	lateSlots    = 2
 	lateQueue    = 4
@@ -24,7 +24,7 @@
 	garbleAnswers = 0.04
 	garbleFor     = 5 * time.Second
 	garblePause   = 1 * time.Second
-	lateTraffic   = 85 * time.Second
+	lateTraffic   = 100 * time.Second
 )
 
 // lateExtraRefusal sends requests that may run once to a service whose targets are often full and, for some seconds at a
