--- a/internal/partswire/partswire.go
+++ b/internal/partswire/partswire.go
@@ -18,7 +18,7 @@
 
 // EncodeRequest converts the request of a caller to a message.
 func EncodeRequest(r targetcall.Request) *gossippb.Request {
-	m := &gossippb.Request{Id: r.ID, Method: r.Method, Host: r.Host, Path: r.Path, Body: r.Body}
+	m := &gossippb.Request{Id: r.ID, Method: r.Method, Host: r.Host, Path: r.Path, Body: r.Body, Account: r.Account}
 	for name, values := range r.Header {
 		for _, v := range values {
 			m.Headers = append(m.Headers, &gossippb.Header{Name: name, Value: v})
@@ -30,7 +30,7 @@
 // DecodeRequest converts a message to the request of a caller.
 func DecodeRequest(m *gossippb.Request) targetcall.Request {
 	r := targetcall.Request{
-		ID: m.GetId(), Method: m.GetMethod(), Host: m.GetHost(), Path: m.GetPath(), Body: m.GetBody(), Header: http.Header{},
+		ID: m.GetId(), Method: m.GetMethod(), Host: m.GetHost(), Path: m.GetPath(), Body: m.GetBody(), Header: http.Header{}, Account: m.GetAccount(),
 	}
 	for _, h := range m.GetHeaders() {
 		// The header name must keep the spelling that the requesting daemon received; Add would canonicalize it.
--- a/internal/routetable/route.go
+++ b/internal/routetable/route.go
@@ -16,7 +16,9 @@
 	// Objective is the latency objective: an answer within this time has its full worth.
 	Objective time.Duration
 	// Priority is the priority among routes; 0 is the highest.
-	Priority    int
+	Priority int
+	// Public is set if callers need no account.
+	Public      bool
 	Destination Destination
 }
 
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -5,6 +5,8 @@
 	"net"
 	"slices"
 	"strings"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/account"
 )
 
 // Table is one version of routes, services and limits. It is immutable, and its zero value has no routes.
@@ -17,6 +19,7 @@
 	coldRates map[string]float64
 	// maxShards is the number of shards of the largest search that a service is part of.
 	maxShards map[string]int
+	accounts  account.Table
 }
 
 // New returns a table of the given routes and services.
@@ -48,6 +51,21 @@
 	return t
 }
 
+// WithAccounts returns a copy of the table with the given accounts.
+func (t *Table) WithAccounts(accounts account.Table) *Table {
+	out := *t
+	out.accounts = accounts
+	return &out
+}
+
+// Accounts returns the client accounts.
+func (t *Table) Accounts() account.Table {
+	if t == nil {
+		return account.Table{}
+	}
+	return t.accounts
+}
+
 // Find returns the route of the host with the longest prefix of the raw path.
 func (t *Table) Find(host, path string) (Route, bool) {
 	for _, r := range t.byHost[bareHost(host)] {
--- a/internal/targetcall/call.go
+++ b/internal/targetcall/call.go
@@ -36,6 +36,8 @@
 	// Header holds the caller's headers without the hop-by-hop headers.
 	Header http.Header
 	Body   []byte
+	// Account is the name of the caller's account; empty if it has none.
+	Account string
 }
 
 // Result is the result of a call: Answered, Refused, NotSent or Unknown.
@@ -94,6 +96,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes at this moment in proportion to usual, 1 being usual; 0 if the target did not say.
+	Pace float64
 }
 
 // Success reports whether the answer is a success with a signature.
--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -16,6 +16,8 @@
 	DefaultDrainBound = 3 * time.Second
 	// DefaultRetryWindow is the default of Rules.RetryWindow.
 	DefaultRetryWindow = 10 * time.Second
+	// DefaultQuotaWindow is the default of Rules.QuotaWindow.
+	DefaultQuotaWindow = 5 * time.Second
 	// DefaultHoldersFrom is the default of Entry.HoldersFrom. Aggregators are needed from about this product on: with 48
 	// daemons that each query 20 shards, a daemon sees too few requests to know a target's state, and with 11 daemons that
 	// each query 90 shards, a search takes a daemon too long.
@@ -47,8 +49,9 @@
 	FirstStart bool `json:"firstStart,omitempty"`
 	// HoldersFrom is the least product of live daemons and shards of a search at which the shards are queried through
 	// aggregators.
-	HoldersFrom int   `json:"holdersFrom,omitempty"`
-	Rules       Rules `json:"rules"`
+	HoldersFrom int      `json:"holdersFrom,omitempty"`
+	Rules       Rules    `json:"rules"`
+	Overload    Overload `json:"overload,omitzero"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string `json:"logLevel,omitempty"`
 }
@@ -68,6 +71,11 @@
 	DrainBound Duration `json:"drainBound"`
 	// Grace is how long a daemon may still run after it was told to stop.
 	Grace Duration `json:"grace"`
+	// QuotaWindow, QuotaOvershoot and QuotaSlack bound the requests of an account with a quota: in any QuotaWindow, targets may
+	// run the quota's rate times the window plus its burst, times one plus QuotaOvershoot, plus QuotaSlack.
+	QuotaWindow    Duration `json:"quotaWindow,omitempty"`
+	QuotaOvershoot float64  `json:"quotaOvershoot,omitempty"`
+	QuotaSlack     float64  `json:"quotaSlack,omitempty"`
 	// Heartbeat is the interval at which a target renews its store entry.
 	Heartbeat Duration `json:"heartbeat"`
 	// CallerMargin is the time an answer needs to reach its caller. It is part of the answer margin: the cutoff of a search
@@ -76,6 +84,16 @@
 	CallerMargin Duration `json:"callerMargin,omitempty"`
 }
 
+// Overload switches on what a daemon does when targets are slow or full. The zero value switches everything off.
+type Overload struct {
+	// LearnCapacity makes daemons learn how many calls each target takes well, and send no more than that.
+	LearnCapacity bool `json:"learnCapacity,omitempty"`
+	// QueueCalls makes calls wait in order of priority while all targets of their service are full.
+	QueueCalls bool `json:"queueCalls,omitempty"`
+	// OmitLateShards makes searches leave out the shards that would answer late, as far as the minimum coverage allows.
+	OmitLateShards bool `json:"omitLateShards,omitempty"`
+}
+
 // ParseEntry parses and validates the settings of an entry daemon and fills in defaults.
 func ParseEntry(data []byte) (Entry, []Problem) {
 	var e Entry
@@ -87,6 +105,7 @@
 
 func (e Entry) withDefaults() Entry {
 	e.HoldersFrom = lo.CoalesceOrEmpty(e.HoldersFrom, DefaultHoldersFrom)
+	e.Rules.QuotaWindow = Duration(e.Rules.QuotaWindow.Or(DefaultQuotaWindow))
 	e.Rules.RetryWindow = Duration(e.Rules.RetryWindow.Or(DefaultRetryWindow))
 	e.Rules.DrainBound = Duration(e.Rules.DrainBound.Or(DefaultDrainBound))
 	e.Rules.Grace = Duration(e.Rules.Grace.Or(DefaultGrace))
@@ -112,6 +131,9 @@
 	v.nonNegative("$.rules.retrySlack", e.Rules.RetrySlack)
 	v.nonNegative("$.rules.coldOvershoot", e.Rules.ColdOvershoot)
 	v.nonNegative("$.rules.coldSlack", e.Rules.ColdSlack)
+	v.nonNegative("$.rules.quotaOvershoot", e.Rules.QuotaOvershoot)
+	v.nonNegative("$.rules.quotaSlack", e.Rules.QuotaSlack)
+	v.delay("$.rules.quotaWindow", e.Rules.QuotaWindow)
 	v.delay("$.rules.retryWindow", e.Rules.RetryWindow)
 	v.delay("$.rules.drainBound", e.Rules.DrainBound)
 	v.delay("$.rules.grace", e.Rules.Grace)
