--- a/internal/account/table.go
+++ b/internal/account/table.go
@@ -1,7 +1,5 @@
 package account
 
-import "crypto/sha256"
-
 // Keyed is an account with its keys.
 type Keyed struct {
 	Account Account
@@ -10,18 +8,18 @@
 
 // Table holds the accounts of one version of the configuration. It is immutable, and its zero value has no accounts.
 type Table struct {
-	byKey map[[sha256.Size]byte]*Account
+	byKey map[KeyHash]*Account
 	names map[string]*Account
 }
 
 // NewTable returns a table of the given accounts. It retains only hashes of the keys.
 func NewTable(accounts []Keyed) Table {
-	t := Table{byKey: map[[sha256.Size]byte]*Account{}, names: map[string]*Account{}}
+	t := Table{byKey: map[KeyHash]*Account{}, names: map[string]*Account{}}
 	for _, k := range accounts {
 		a := k.Account
 		t.names[a.Name] = &a
 		for _, key := range k.Keys {
-			t.byKey[sha256.Sum256([]byte(key))] = &a
+			t.byKey[HashKey(key)] = &a
 		}
 	}
 	return t
@@ -32,7 +30,12 @@
 
 // FindByKey returns the account that holds a key.
 func (t Table) FindByKey(key string) (Account, bool) {
-	a, ok := t.byKey[sha256.Sum256([]byte(key))]
+	return t.FindByHash(HashKey(key))
+}
+
+// FindByHash returns the account that holds the key with a hash.
+func (t Table) FindByHash(key KeyHash) (Account, bool) {
+	a, ok := t.byKey[key]
 	if !ok {
 		return Account{}, false
 	}
--- a/internal/aggregatorclient/batch.go
+++ b/internal/aggregatorclient/batch.go
@@ -84,6 +84,8 @@
 	lastSent  time.Time
 	// refusals counts the aggregators that refused the call.
 	refusals int
+	// notRun is set once it is proved that no process runs the call.
+	notRun bool
 	// fallback is set when an unresponsive aggregator was queried for the shards before.
 	fallback bool
 	// probeSentAt is when a loopback probe was sent to find out whether this daemon has read all replies; zero when
@@ -141,6 +143,7 @@
 		CutMillis:       int32(b.search.Cutoff.Sub(now).Milliseconds()),
 		LeftMillis:      uint32(max(b.search.Deadline.Sub(now).Milliseconds(), 1)),
 		Again:           g.fallback,
+		Priority:        partswire.EncodePriority(route.Priority),
 		Request:         b.request,
 	}
 }
@@ -388,7 +391,11 @@
 		b.client.cancel(g.aggregator, g.id)
 	}
 	indexes := g.indexes
-	g.pending = nil
+	g.pending, g.notRun = nil, true
+	if b.search.Revoked != nil && lo.EveryBy(b.groups, func(g *shardGroup) bool { return g.notRun }) && b.search.Revoked() {
+		b.markNotRun(indexes, forward.ReasonRevoked)
+		return
+	}
 	next, ok := b.client.fallbackFor(b.plan, indexes[0], b.jobs[indexes[0]].Service, g.aggregator, now)
 	if !ok || g.refusals >= maxRefusals {
 		switch {
@@ -399,16 +406,16 @@
 			b.markLost(g.aggregator, indexes)
 			return
 		default:
-			b.markNotRun(indexes)
+			b.markNotRun(indexes, ReasonUnresponsive)
 			return
 		}
 	}
 	b.call(&shardGroup{aggregator: next, indexes: indexes, fallback: g.fallback, refusals: g.refusals + 1}, g.attempts, now)
 }
 
-func (b *batch) markNotRun(indexes []int) {
+func (b *batch) markNotRun(indexes []int, reason string) {
 	for _, index := range indexes {
-		b.finished = append(b.finished, forward.JobResult{Index: index, Outcome: forward.NotRun{Reason: ReasonUnresponsive, RetryAfter: deprioritizeFor}})
+		b.finished = append(b.finished, forward.JobResult{Index: index, Outcome: forward.NotRun{Reason: reason, RetryAfter: deprioritizeFor}})
 	}
 }
 
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"net/http"
 	"time"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/account"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
 )
 
@@ -13,9 +15,14 @@
 	// specify it.
 	Deadline   time.Duration
 	ReceivedAt time.Time
+	// Credential is what the caller presented to authenticate.
+	Credential account.Credential
+	// IdentityHeader holds the headers that tell who the caller is. They are part of the request only if the configuration has
+	// no accounts.
+	IdentityHeader http.Header
 }
 
-// Answer is the response to the caller: [Forwarded], [Merged], [NoRoute], [NotRun] or [Lost].
+// Answer is the response to the caller: [Forwarded], [Merged], [NoRoute], [Unauthorized], [NotRun] or [Lost].
 type Answer interface{ answer() }
 
 // Forwarded is the answer of a target, passed through.
@@ -31,6 +38,9 @@
 // NoRoute means that the current configuration has no route for the request.
 type NoRoute struct{}
 
+// Unauthorized means that the caller is not authenticated, and that no target has run the request or will run it.
+type Unauthorized struct{ Reason string }
+
 // NotRun means that no target has run the request or will run it.
 type NotRun struct {
 	Reason     string
@@ -44,8 +54,9 @@
 	Timeout bool
 }
 
-func (Forwarded) answer() {}
-func (Merged) answer()    {}
-func (NoRoute) answer()   {}
-func (NotRun) answer()    {}
-func (Lost) answer()      {}
+func (Forwarded) answer()    {}
+func (Merged) answer()       {}
+func (NoRoute) answer()      {}
+func (Unauthorized) answer() {}
+func (NotRun) answer()       {}
+func (Lost) answer()         {}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -57,6 +57,8 @@
 	// Log and Scope are optional.
 	Log   *zap.Logger
 	Scope tally.Scope
+
+	refusals refusalLog
 }
 
 // Handle answers one request. It returns at the latest when the caller or the route stops waiting, when the grace
@@ -74,11 +76,17 @@
 		return d.finish(entry, NoRoute{})
 	}
 	entry.route = route
+	if refusal, ok := d.authenticate(&entry); !ok {
+		return d.finish(entry, refusal)
+	}
 	defer d.InFlight.Add(r.Request.ID, route.Name, r.ReceivedAt)()
 	deadline, ok := d.Grace.Admit(time.Now(), d.deadline(r, route))
 	if !ok {
 		return d.finish(entry, NotRun{Reason: ReasonStopping, RetryAfter: RetryAfterStopping})
 	}
+	if entry.revoked != nil && entry.revoked() {
+		return d.finish(entry, d.refuse(entry, d.State(), ReasonRevokedKey))
+	}
 	switch x := route.Destination.(type) {
 	case routetable.Scatter:
 		return d.search(ctx, entry, x, deadline)
@@ -121,6 +129,7 @@
 func (d *Dispatcher) search(ctx context.Context, entry requestLog, s routetable.Scatter, deadline time.Time) Answer {
 	out, trace := d.Gatherer.Run(ctx, scatter.Search{
 		Route: entry.route, Scatter: s, Request: entry.request.Request, ReceivedAt: entry.request.ReceivedAt, Deadline: deadline,
+		Revoked: entry.revoked,
 	})
 	entry.search = &trace
 	entry.typicalLatency = d.Forwarder.TypicalLatency(entry.route)
@@ -140,7 +149,9 @@
 	if service == "" {
 		return d.finish(entry, NotRun{Reason: ReasonNoService, RetryAfter: retryAfterUnconfigured})
 	}
-	out, trace := d.Forwarder.Run(ctx, forward.Job{Service: service, Route: entry.route, Request: entry.request.Request, Deadline: deadline})
+	out, trace := d.Forwarder.Run(ctx, forward.Job{
+		Service: service, Route: entry.route, Request: entry.request.Request, Deadline: deadline, Revoked: entry.revoked,
+	})
 	entry.single = &trace
 	switch x := out.(type) {
 	case forward.Done:
@@ -166,6 +177,9 @@
 }
 
 func (d *Dispatcher) finish(entry requestLog, a Answer) Answer {
+	if _, notRun := a.(NotRun); notRun && entry.revoked != nil && entry.revoked() {
+		a = d.refuse(entry, d.State(), ReasonRevokedKey)
+	}
 	elapsed := time.Since(entry.request.ReceivedAt)
 	label, reason := labelAndReason(a)
 	if d.Scope != nil {
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -30,10 +30,11 @@
 	dispatcher *dispatch.Dispatcher
 	cell       blackboard.Cell[platformstate.State]
 	pool       workers.Pool
+	sender     *scriptedtarget.Sender
 }
 
 func newFixture(b scriptedtarget.Behaviour) *fixture {
-	x := &fixture{}
+	x := &fixture{sender: &scriptedtarget.Sender{Behave: func(string, int) scriptedtarget.Behaviour { return b }}}
 	state := func() platformstate.State {
 		if p := x.cell.Get(); p != nil {
 			return *p
@@ -41,7 +42,7 @@
 		return platformstate.State{}
 	}
 	f := &forward.Forwarder{
-		Sender: &scriptedtarget.Sender{Behave: func(string, int) scriptedtarget.Behaviour { return b }}, Selector: &targetselect.Selector{},
+		Sender: x.sender, Selector: &targetselect.Selector{},
 		Gate: &sendgate.Gate{}, Budget: &retrybudget.Budget{}, Workers: &x.pool,
 		Inventory: func() inventory.Inventory { return state().Inventory },
 		Refuses: func(r targetcall.Request, _ string) (time.Duration, bool) {
--- a/internal/dispatch/requestlog.go
+++ b/internal/dispatch/requestlog.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/account"
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
 	"github.com/knapweedpoint/knapweedpoint/internal/platformstate"
 	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
@@ -19,7 +20,12 @@
 type requestLog struct {
 	request CallerRequest
 	state   platformstate.State
-	route   routetable.Route
+	// route has the priority of the account, if that has one.
+	route routetable.Route
+	// account is the caller's account; it is zero on public routes and if the configuration has no accounts.
+	account account.Account
+	// revoked reports whether the caller's key was revoked since; nil if the request needs none.
+	revoked func() bool
 	search  *scatter.Trace
 	single  *forward.Trace
 	// typicalLatency is the typical latency of a target on the route.
@@ -71,6 +77,8 @@
 		return "done", ""
 	case NoRoute:
 		return "noRoute", ""
+	case Unauthorized:
+		return "unauthorized", x.Reason
 	case NotRun:
 		return "notRun", x.Reason
 	case Lost:
--- a/internal/events/event.go
+++ b/internal/events/event.go
@@ -90,6 +90,7 @@
 	LogLinesDropped   = Event{860, "logLinesDropped", Warn}
 	InterfaceFailed   = Event{870, "interfaceFailed", Warn}
 	WorkPanicked      = Event{880, "workPanicked", Error}
+	CallerRefused     = Event{900, "callerRefused", Warn}
 )
 
 // All lists every event in the order of the numbers.
@@ -103,7 +104,7 @@
 		RequestEnded, PartsEnded, HolderSilent, PartsRefused, StoreLost, StoreRegained, StoreRead, CopyTaken, CopyFailed, EntryForeign, OrdersTaken, StoreRestored, ConfigurationRead,
 		TargetPublished, TargetWithdrawn, TargetDown, RequestCrashes, AnswerOverlong, TargetLimited, TargetUnlimited, LimitUnreadable, LimitedSends,
 		DatagramFailed, DatagramOdd, MembersChanged, TargetLeaving, TargetHoldsOff, TargetUsedAgain, HoldUnreadable, CallBroken, SuspicionCleared, LossesDropped, ClockSuspended, RequestOnTrial, SettingsReloaded, SettingsRefused,
-		LogLinesDropped, InterfaceFailed, WorkPanicked,
+		LogLinesDropped, InterfaceFailed, WorkPanicked, CallerRefused,
 	}
 }
 
--- a/internal/forward/job.go
+++ b/internal/forward/job.go
@@ -23,6 +23,9 @@
 	PartOfSearch bool
 	// MayResend is called before an additional send when an earlier one may have run; a nil func allows all of them.
 	MayResend func() bool
+	// Revoked reports whether the caller's authentication was revoked. The job then sends nothing more if nothing of its batch
+	// may have run. It is optional.
+	Revoked func() bool
 }
 
 func (j Job) class() targetselect.Class {
@@ -83,6 +86,7 @@
 	ReasonTargetsLimited   = "targetsLimited"
 	ReasonTargetsHoldOff   = "targetsHoldOff"
 	ReasonCrashesTargets   = "crashesTargets"
+	ReasonRevoked          = "revokedKey"
 )
 
 // Trace records the sends of a job for the log.
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -92,7 +92,7 @@
 			r.sendHedge(t, now)
 			return nil
 		}
-		if !r.refused() && r.batch.forwarder.Gate.Admit(t, now) {
+		if !r.refused() && !r.isRevoked() && r.batch.forwarder.Gate.Admit(t, now) {
 			r.send(t, now)
 			return nil
 		}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -48,6 +48,8 @@
 	lastFailure Outcome
 	// refusedFor is how long the request is refused because it crashes its targets; 0 if it is not.
 	refusedFor time.Duration
+	// revoked is set once the job was refused because the caller's authentication was revoked.
+	revoked bool
 	// outcome is set once the job has ended.
 	outcome Outcome
 	// hedgeAt is when a hedge is due; retryAt is when full targets are tried again; grantAt is when a retry checks again
@@ -133,7 +135,7 @@
 	if r.sends >= maxSends || r.attemptsUsed+len(r.inFlight) >= max(r.job.Route.Attempts, 1) {
 		return false
 	}
-	if r.refused() {
+	if r.refused() || r.isRevoked() {
 		return false
 	}
 	if r.permits.waiting {
@@ -272,7 +274,7 @@
 	if r.launch(false, now) {
 		return nil
 	}
-	if r.lastFailure == nil && r.sends > 0 && r.sends < maxSends && !r.allHoldOff(now) && r.backOff(now) {
+	if r.lastFailure == nil && !r.revoked && r.sends > 0 && r.sends < maxSends && !r.allHoldOff(now) && r.backOff(now) {
 		return nil
 	}
 	return r.failure()
@@ -356,6 +358,9 @@
 	if r.lastFailure != nil {
 		return r.lastFailure
 	}
+	if r.revoked {
+		return NotRun{Reason: ReasonRevoked, RetryAfter: minBackoff}
+	}
 	if r.refusedFor > 0 {
 		return NotRun{Reason: ReasonCrashesTargets, RetryAfter: r.refusedFor}
 	}
--- a/internal/partswire/partswire.go
+++ b/internal/partswire/partswire.go
@@ -1,6 +1,7 @@
 package partswire
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -39,12 +40,19 @@
 	return r
 }
 
+// EncodePriority returns the value of PartsCall.priority for the priority of a route.
+func EncodePriority(priority int) uint32 {
+	return uint32(min(max(priority, 0), math.MaxUint32-1) + 1)
+}
+
 // DecodeRoute returns a route with the fields that a call carries. Searches may run more than once, so the route is
 // repeatable.
 func DecodeRoute(m *gossippb.PartsCall) routetable.Route {
 	return routetable.Route{
 		Host: m.GetHost(), Prefix: m.GetPrefix(), Idempotent: true, Attempts: int(m.GetAttempts()),
 		Objective: time.Duration(m.GetObjectiveMillis()) * time.Millisecond,
+		// A call that does not say has the highest priority.
+		Priority: int(max(m.GetPriority(), 1) - 1),
 	}
 }
 
--- a/internal/scatter/collection.go
+++ b/internal/scatter/collection.go
@@ -24,6 +24,9 @@
 	retryAfter time.Duration
 	// timeUp is set when the search was ended before its deadline because the daemon is about to exit.
 	timeUp bool
+	// revoked is set once a job was refused because the caller's authentication was revoked. Nothing had run then, and the
+	// others are refused as well.
+	revoked bool
 	// cutoffAt is when the collection processed the cutoff; zero when it ended before.
 	cutoffAt time.Time
 }
@@ -47,7 +50,7 @@
 			wake = time.Time{}
 			c.cutoffAt = time.Now()
 		}
-		if len(c.signatures)+c.unfinished < c.need {
+		if len(c.signatures)+c.unfinished < c.need && (!c.revoked || c.mayHaveRun || c.unfinished == 0) {
 			return c.fail()
 		}
 		if wake.IsZero() && len(c.signatures) >= c.need {
@@ -87,6 +90,7 @@
 	case forward.NotRun:
 		c.lastReason = o.Reason
 		c.retryAfter = max(c.retryAfter, o.RetryAfter)
+		c.revoked = c.revoked || o.Reason == forward.ReasonRevoked
 	}
 }
 
--- a/internal/scatter/gatherer.go
+++ b/internal/scatter/gatherer.go
@@ -79,6 +79,8 @@
 	ReceivedAt time.Time
 	// Deadline is when the caller stops waiting or the timeout of the route expires.
 	Deadline time.Time
+	// Revoked is Job.Revoked of the shards' jobs. It is optional.
+	Revoked func() bool
 	// Cutoff is when an answer with enough parts is sent; Run sets it.
 	Cutoff time.Time
 }
@@ -100,7 +102,7 @@
 		return out, Trace{}
 	}
 	jobs := lo.Map(shards, func(shard string, _ int) forward.Job {
-		return forward.Job{Service: shard, Route: s.Route, Request: s.Request, Deadline: s.Deadline, PartOfSearch: true}
+		return forward.Job{Service: shard, Route: s.Route, Request: s.Request, Deadline: s.Deadline, PartOfSearch: true, Revoked: s.Revoked}
 	})
 	s.Cutoff = s.ReceivedAt.Add(s.Route.Objective - min(g.Margin+g.lag.Estimate(), s.Route.Objective/maxEarlyDivisor))
 	batch, ok := g.start(s, jobs)
--- a/internal/scriptedtarget/sender.go
+++ b/internal/scriptedtarget/sender.go
@@ -23,6 +23,7 @@
 // Call is the record of one call to a target.
 type Call struct {
 	Target    string
+	Request   targetcall.Request
 	SentAt    time.Time
 	Remaining time.Duration
 	Cancelled bool
@@ -73,7 +74,7 @@
 	}
 	n := s.callCounts[c.Target.ID]
 	s.callCounts[c.Target.ID]++
-	s.calls = append(s.calls, Call{Target: c.Target.ID, SentAt: time.Now(), Remaining: c.Remaining})
+	s.calls = append(s.calls, Call{Target: c.Target.ID, Request: c.Request, SentAt: time.Now(), Remaining: c.Remaining})
 	if s.Behave == nil {
 		return Behaviour{}, len(s.calls) - 1
 	}
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/account"
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
@@ -167,7 +168,7 @@
 }
 
 func (c storeClient) operatorState() operatorstate.State {
-	table := routetable.New(c.store.version, nil, nil, routetable.Limits{})
+	table := newTable(c.store.version)
 	return operatorstate.State{Table: table, Document: []byte(fmt.Sprint(c.store.version)), ZonesOut: c.store.zonesOut}
 }
 
@@ -239,9 +240,17 @@
 	}
 	var v uint64
 	_, err := fmt.Sscan(string(document), &v)
-	return routetable.New(v, nil, nil, routetable.Limits{}), err
+	return newTable(v), err
 }
 
+// newTable returns the configuration of a version. Its only key is keyOf(version): each version revokes that of the version before.
+func newTable(version uint64) *routetable.Table {
+	accounts := []account.Keyed{{Account: account.Account{Name: "anna"}, Keys: []string{keyOf(version)}}}
+	return routetable.New(version, nil, nil, routetable.Limits{}).WithAccounts(account.NewTable(accounts))
+}
+
+func keyOf(version uint64) string { return fmt.Sprint("key", version) }
+
 // fleet is a set of daemons with one store. Two peers exchange messages unless one of them is partitioned.
 type fleet struct {
 	store       *store
