--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -15,7 +15,7 @@
 	ReceivedAt time.Time
 }
 
-// Answer is the response to the caller: [Forwarded], [Merged], [NoRoute], [NotRun] or [Lost].
+// Answer is the response to the caller: [Forwarded], [Merged], [NoRoute], [OverQuota], [NotRun] or [Lost].
 type Answer interface{ answer() }
 
 // Forwarded is the answer of a target, passed through.
@@ -31,6 +31,9 @@
 // NoRoute means that the current configuration has no route for the request.
 type NoRoute struct{}
 
+// OverQuota means that the caller's account is over its quota. The request has not run.
+type OverQuota struct{ RetryAfter time.Duration }
+
 // NotRun means that no target has run the request or will run it.
 type NotRun struct {
 	Reason     string
@@ -47,5 +50,6 @@
 func (Forwarded) answer() {}
 func (Merged) answer()    {}
 func (NoRoute) answer()   {}
+func (OverQuota) answer() {}
 func (NotRun) answer()    {}
 func (Lost) answer()      {}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/accountquota"
 	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
 	"github.com/knapweedpoint/knapweedpoint/internal/grace"
@@ -54,6 +55,8 @@
 	Grace grace.Period
 	// InFlight holds the requests that are being answered.
 	InFlight inflight.Register
+	// Quota checks the requests of accounts; it is optional.
+	Quota *accountquota.Admission
 	// Log and Scope are optional.
 	Log   *zap.Logger
 	Scope tally.Scope
@@ -79,6 +82,24 @@
 	if !ok {
 		return d.finish(entry, NotRun{Reason: ReasonStopping, RetryAfter: RetryAfterStopping})
 	}
+	caller, _ := state.OperatorState.Table.Accounts().Find(r.Request.Account)
+	switch x := d.Quota.Admit(caller, state.OperatorState.Version()).(type) {
+	case accountquota.OverQuota:
+		return d.finish(entry, OverQuota{RetryAfter: x.RetryAfter})
+	case accountquota.Admitted:
+		a := d.send(ctx, entry, deadline)
+		if _, notRun := a.(NotRun); notRun {
+			x.GiveBack()
+		}
+		return a
+	default:
+		panic("dispatch: unknown decision about a quota")
+	}
+}
+
+// send sends the request to the destination of its route.
+func (d *Dispatcher) send(ctx context.Context, entry requestLog, deadline time.Time) Answer {
+	route := entry.route
 	switch x := route.Destination.(type) {
 	case routetable.Scatter:
 		return d.search(ctx, entry, x, deadline)
--- a/internal/dispatch/requestlog.go
+++ b/internal/dispatch/requestlog.go
@@ -71,6 +71,8 @@
 		return "done", ""
 	case NoRoute:
 		return "noRoute", ""
+	case OverQuota:
+		return "overQuota", ""
 	case NotRun:
 		return "notRun", x.Reason
 	case Lost:
--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -9,6 +9,7 @@
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/accountquota"
 	"github.com/knapweedpoint/knapweedpoint/internal/aggregator"
 	"github.com/knapweedpoint/knapweedpoint/internal/aggregatorclient"
 	"github.com/knapweedpoint/knapweedpoint/internal/answermargin"
@@ -58,6 +59,7 @@
 	do.Provide(i, d.newGossiper)
 	do.Provide(i, d.newSyncer)
 	do.Provide(i, d.newPermitClient)
+	do.Provide(i, d.newQuota)
 	do.Provide(i, d.newForwarder)
 	do.Provide(i, d.newAggregator)
 	do.Provide(i, d.newAggregatorClient)
@@ -82,6 +84,7 @@
 	d.limits = do.MustInvoke[*targetlimit.Register](d.injector)
 	d.permitIssuer = do.MustInvoke[*permitissuer.Issuer](d.injector)
 	d.permits = do.MustInvoke[*permitclient.Client](d.injector)
+	d.quota = do.MustInvoke[*accountquota.Admission](d.injector)
 	d.hints = &stallhint.Notifier{Broadcast: syncer.gossiper.Broadcast}
 	d.forwarder = do.MustInvoke[*forward.Forwarder](d.injector)
 	d.aggregator = do.MustInvoke[*aggregator.Aggregator](d.injector)
@@ -174,6 +177,17 @@
 	}, nil
 }
 
+func (d *Daemon) newQuota(i do.Injector) (*accountquota.Admission, error) {
+	return &accountquota.Admission{
+		Name:    d.Settings().Name,
+		Permits: do.MustInvoke[*permitclient.Client](i),
+		Rules:   d.quotaRules,
+		Known:   do.MustInvoke[*roster.Roster](i).RecentCount,
+		Log:     d.options.Log,
+		Scope:   d.options.Scope,
+	}, nil
+}
+
 func (d *Daemon) newForwarder(i do.Injector) (*forward.Forwarder, error) {
 	return &forward.Forwarder{
 		Sender:         d.options.Sender,
@@ -224,6 +238,7 @@
 		Gatherer:  &scatter.Gatherer{Runner: do.MustInvoke[*aggregatorclient.Client](i), Margin: margin, Refuses: d.refuses, UnansweredLosses: d.unansweredLosses},
 		Splits:    do.MustInvoke[*split.Picker](i),
 		Margin:    margin,
+		Quota:     do.MustInvoke[*accountquota.Admission](i),
 		Log:       d.options.Log,
 		Scope:     d.options.Scope,
 	}, nil
--- a/internal/entry/changes.go
+++ b/internal/entry/changes.go
@@ -21,6 +21,7 @@
 	if after.OperatorState.Version() != before.OperatorState.Version() {
 		d.callers.SetLimits(after.OperatorState.Table.Limits)
 		d.setColdRules(after.OperatorState.Table)
+		d.quota.SetAccounts(after.OperatorState.Table.Accounts())
 	}
 	if after.OperatorState.Version() != before.OperatorState.Version() || !slices.Equal(after.OperatorState.ZonesOut, before.OperatorState.ZonesOut) {
 		events.OrdersTaken.Log(d.options.Log, zap.Uint64("version", after.OperatorState.Version()), zap.Uint64("before", before.OperatorState.Version()),
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/accountquota"
 	"github.com/knapweedpoint/knapweedpoint/internal/aggregator"
 	"github.com/knapweedpoint/knapweedpoint/internal/aggregatorclient"
 	"github.com/knapweedpoint/knapweedpoint/internal/assignment"
@@ -64,11 +65,12 @@
 	limits           *targetlimit.Register
 	permits          *permitclient.Client
 	permitIssuer     *permitissuer.Issuer
+	quota            *accountquota.Admission
 	aggregator       *aggregator.Aggregator
 	aggregatorClient *aggregatorclient.Client
 	// assignments holds the table that assigns shards to aggregators.
 	assignments blackboard.Cell[assignment.Table]
-	// issuers holds the table that assigns the targets with rate limits to issuers.
+	// issuers holds the table that assigns the targets with rate limits and the accounts with quotas to issuers.
 	issuers blackboard.Cell[issuertable.Table]
 	// connectFailures limits how often a target that does not accept connections is logged and its idle connections closed.
 	connectFailures throttle.Limiter
--- a/internal/entry/housekeeper.go
+++ b/internal/entry/housekeeper.go
@@ -133,7 +133,9 @@
 		return
 	}
 	settledAt := h.firstRound.Add(settleAfter)
-	h.daemon.permitIssuer.SetStart(h.firstRound.Add(roster.LivenessTimeout), settledAt.Add(handover))
+	knownFrom, fullFrom := h.firstRound.Add(roster.LivenessTimeout), settledAt.Add(handover)
+	h.daemon.permitIssuer.SetStart(knownFrom, fullFrom)
+	h.daemon.quota.SetStart(knownFrom, fullFrom)
 	if !now.Before(settledAt) {
 		h.settled = true
 		h.daemon.sync.gossiper.AnnounceSettled()
--- a/internal/entry/housekeeper_test.go
+++ b/internal/entry/housekeeper_test.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/accountquota"
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
 	"github.com/knapweedpoint/knapweedpoint/internal/permitissuer"
 	"github.com/knapweedpoint/knapweedpoint/internal/platformstate"
@@ -33,7 +34,7 @@
 					d := &Daemon{sync: &syncComponents{
 						roster: roster.New(self),
 						syncer: storesync.New(storesync.Options{Copy: &blackboard.Cell[platformstate.State]{}}),
-					}, permitIssuer: &permitissuer.Issuer{}}
+					}, permitIssuer: &permitissuer.Issuer{}, quota: &accountquota.Admission{}}
 					s := settings.Entry{Name: self.Name}
 					s.Rules.RetrySlack, s.Rules.RetryWindow = slack, settings.Duration(10*time.Second)
 					d.settings.Set(&s)
--- a/internal/forward/permits_test.go
+++ b/internal/forward/permits_test.go
@@ -12,8 +12,8 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
-	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/issuertable"
+	"github.com/knapweedpoint/knapweedpoint/internal/permit"
 	"github.com/knapweedpoint/knapweedpoint/internal/permitclient"
 	"github.com/knapweedpoint/knapweedpoint/internal/permitissuer"
 	"github.com/knapweedpoint/knapweedpoint/internal/scriptedtarget"
@@ -30,7 +30,7 @@
 	limits := &targetlimit.Register{}
 	permits := &permitissuer.Issuer{Table: table}
 	for _, t := range targets {
-		permits.Issue(inventory.Target{ID: t}, perSecond, time.Now())
+		permits.Issue(permit.ForTarget(t, "", perSecond), permit.Grant{}, time.Now())
 		limits.Merge(targetlimit.Statement{Target: t, PerSecond: perSecond, ObservedAt: time.Now()})
 	}
 	x.forwarder.Permits = &permitclient.Client{
--- a/internal/permitclient/fleet_test.go
+++ b/internal/permitclient/fleet_test.go
@@ -87,7 +87,7 @@
 			return
 		}
 		reply := &gossippb.PermitReply{Id: r.GetId()}
-		switch x := to.issuer.Issue(target, to.limits.Limit(target), time.Now()).(type) {
+		switch x := to.issuer.Issue(permit.ForTarget(target.ID, target.AvailabilityZone, to.limits.Limit(target)), permit.Grant{}, time.Now()).(type) {
 		case permit.Granted:
 			reply.Granted = true
 		case permit.Denied:
--- a/internal/permitissuer/issuer.go
+++ b/internal/permitissuer/issuer.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
-	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/issuertable"
 	"github.com/knapweedpoint/knapweedpoint/internal/permit"
 )
@@ -17,29 +16,49 @@
 	burstTime    = 500 * time.Millisecond
 	// retryElsewhere is when to ask again after a daemon that is not an issuer of the target was asked.
 	retryElsewhere = 100 * time.Millisecond
+	// startShare is the share of its part that an issuer of accounts issues until its start is complete. Daemons that start
+	// together do not agree on the issuers yet, and the permits of the processes before them count in the same window.
+	startShare = 0.5
+	// stockShare is the share of an account's surplus that the issuers accumulate in addition to its burst, so that requests
+	// that come unevenly are not refused while the account is within its quota.
+	stockShare = 0.25
+	// newStockShare is the share of the surplus that an issuer may issue at once for an account that it is new to. The issuers
+	// of an account can be replaced twice in a window within a quarter of the surplus.
+	newStockShare = 0.125
 )
 
-// Issuer issues this daemon's part of the permits of targets that have rate limits. Table is required.
+// Issuer issues this daemon's part of the permits of targets that have rate limits and of accounts that have quotas. Table is required.
 type Issuer struct {
 	Table *blackboard.Cell[issuertable.Table]
 
 	mu sync.Mutex
-	// from is when the daemon starts to issue permits, fullFrom when it may issue its whole part.
+	// from is when the daemon starts to issue permits of targets, fullFrom when it may issue its whole part.
 	from, fullFrom time.Time
 	buckets        map[string]*bucket
 }
 
-// SetStart sets when the daemon starts to issue permits, and when it may issue its whole part: by then the others must
-// know that it does. Without a call, the daemon issues its whole part at once.
+// SetStart sets when the daemon starts to issue permits of targets, by which it must know the other daemons, and when it may
+// issue its whole part: by then the others must know that it does. Without a call, the daemon issues its whole part at once.
 func (i *Issuer) SetStart(from, fullFrom time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.from, i.fullFrom = from, fullFrom
 }
 
-// Issue decides about one send to a target with the given limit in requests per second.
-func (i *Issuer) Issue(t inventory.Target, perSecond float64, now time.Time) permit.Decision {
-	rate := i.Table.Get().Rate(t.ID, t.AvailabilityZone, perSecond)
+// Issue decides about one permit. The grant identifies the request, so that a permit of an account can be returned.
+func (i *Issuer) Issue(r permit.Resource, g permit.Grant, now time.Time) permit.Decision {
+	switch k := r.Kind.(type) {
+	case permit.Target:
+		return i.issueTarget(r, now)
+	case permit.Account:
+		return i.issueAccount(r, k, g, now)
+	default:
+		panic("permitissuer: unknown kind of resource")
+	}
+}
+
+func (i *Issuer) issueTarget(r permit.Resource, now time.Time) permit.Decision {
+	rate := i.Table.Get().Rate(r.ID, r.Zone, r.PerSecond)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if rate == 0 || now.Before(i.from) {
@@ -48,25 +67,65 @@
 	if now.Before(i.fullFrom) {
 		rate *= issuertable.FallbackShare
 	}
-	return i.bucket(t.ID, now).take(rate, now)
+	// A new bucket has a permit, so that the next answer confirms or ends a limit that was just stated, however low it is.
+	b := i.bucket(r.ID, 1, now)
+	if wait := b.take(rate, burstPermits+rate*burstTime.Seconds(), now); wait > 0 {
+		return permit.Denied{RetryAfter: wait}
+	}
+	return permit.Granted{}
+}
+
+// issueAccount issues permits of an account also while the daemon starts, so that a restarted fleet serves its callers.
+func (i *Issuer) issueAccount(r permit.Resource, a permit.Account, g permit.Grant, now time.Time) permit.Decision {
+	table := i.Table.Get()
+	share := table.Share(r.ID, r.Zone, a.Rules.Overshoot)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	// A daemon that knows no other one yet would issue everything, as would each of the others.
+	if share == 0 || now.Before(i.from) && table.MainIssuers() < 2 {
+		return permit.NoIssuer{}
+	}
+	surplus := a.Surplus(r.PerSecond)
+	rate, stock := share*r.PerSecond, share*newStockShare*surplus
+	capacity := max(1, share*(a.Burst+stockShare*surplus))
+	if now.Before(i.fullFrom) {
+		rate *= startShare
+		stock = 0
+	} else {
+		stock += rate * now.Sub(table.CreatedAt()).Seconds()
+	}
+	b := i.bucket(r.ID, stock, now)
+	if wait := b.take(rate, capacity, now); wait > 0 {
+		return permit.Denied{RetryAfter: wait, Issuer: g.Issuer}
+	}
+	b.record(g, now)
+	return permit.Granted{Grant: g}
+}
+
+// Return takes back a permit of an account that was granted and not used. A permit is taken back once.
+func (i *Issuer) Return(r permit.Resource, g permit.Grant, now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if b := i.buckets[r.ID]; b != nil && b.remove(g, now) {
+		b.permits++
+	}
 }
 
-// bucket returns the bucket of a target. A new one has a permit, so that the next answer confirms or ends a limit that was
-// just stated, however low it is.
-func (i *Issuer) bucket(target string, now time.Time) *bucket {
-	b := i.buckets[target]
+// bucket returns the bucket of a resource; a new one has the given permits.
+func (i *Issuer) bucket(id string, permits float64, now time.Time) *bucket {
+	b := i.buckets[id]
 	if b == nil {
 		if i.buckets == nil {
 			i.buckets = map[string]*bucket{}
 		}
-		b = &bucket{permits: 1, updatedAt: now}
-		i.buckets[target] = b
+		b = &bucket{permits: permits, updatedAt: now}
+		i.buckets[id] = b
 	}
 	return b
 }
 
-// Retain removes the buckets of targets that are not limited any more.
-func (i *Issuer) Retain(limited func(target string) bool) {
+// Retain removes the buckets of resources that are not limited any more.
+func (i *Issuer) Retain(limited func(id string) bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for id := range i.buckets {
@@ -75,21 +134,3 @@
 		}
 	}
 }
-
-// bucket holds the permits of one target that can be issued now.
-type bucket struct {
-	permits   float64
-	updatedAt time.Time
-}
-
-// take adds the permits since the last call, at a positive rate in permits per second, and takes one of them.
-func (b *bucket) take(rate float64, now time.Time) permit.Decision {
-	capacity := burstPermits + rate*burstTime.Seconds()
-	b.permits = min(capacity, b.permits+rate*now.Sub(b.updatedAt).Seconds())
-	b.updatedAt = now
-	if b.permits >= 1 {
-		b.permits--
-		return permit.Granted{}
-	}
-	return permit.Denied{RetryAfter: time.Duration((1 - b.permits) / rate * float64(time.Second))}
-}
--- a/internal/permitissuer/issuer_test.go
+++ b/internal/permitissuer/issuer_test.go
@@ -16,11 +16,16 @@
 
 var target = inventory.Target{ID: "t", AvailabilityZone: "a"}
 
+// limited returns the resource of the target with the given limit.
+func limited(perSecond float64) permit.Resource {
+	return permit.ForTarget(target.ID, target.AvailabilityZone, perSecond)
+}
+
 // issued returns the number of permits that an issuer grants to requests every 10 ms for 8 s.
 func issued(i *permitissuer.Issuer, perSecond float64, from time.Time) int {
 	n := 0
 	for ms := 0; ms < 8000; ms += 10 {
-		if _, granted := i.Issue(target, perSecond, from.Add(time.Duration(ms)*time.Millisecond)).(permit.Granted); granted {
+		if _, granted := i.Issue(limited(perSecond), permit.Grant{}, from.Add(time.Duration(ms)*time.Millisecond)).(permit.Granted); granted {
 			n++
 		}
 	}
@@ -81,8 +86,8 @@
 	table.Set(issuertable.New("vm0", []issuertable.Member{{Name: "vm0"}}, 1))
 	i := &permitissuer.Issuer{Table: table}
 	i.SetStart(now.Add(time.Second), now.Add(time.Second))
-	require.IsType(t, permit.Denied{}, i.Issue(target, 25, now))
-	require.IsType(t, permit.Granted{}, i.Issue(target, 25, now.Add(time.Second)))
+	require.IsType(t, permit.Denied{}, i.Issue(limited(25), permit.Grant{}, now))
+	require.IsType(t, permit.Granted{}, i.Issue(limited(25), permit.Grant{}, now.Add(time.Second)))
 }
 
 // A limit of one request in 100 seconds may be a mistake of the target; its next answer shows whether it is.
@@ -91,10 +96,10 @@
 	table := &blackboard.Cell[issuertable.Table]{}
 	table.Set(issuertable.New("vm0", []issuertable.Member{{Name: "vm0"}}, 1))
 	i := &permitissuer.Issuer{Table: table}
-	require.IsType(t, permit.Granted{}, i.Issue(target, 0.01, now))
-	denied, ok := i.Issue(target, 0.01, now).(permit.Denied)
+	require.IsType(t, permit.Granted{}, i.Issue(limited(0.01), permit.Grant{}, now))
+	denied, ok := i.Issue(limited(0.01), permit.Grant{}, now).(permit.Denied)
 	require.True(t, ok)
 	require.Equal(t, 100*time.Second, denied.RetryAfter)
 	i.Retain(func(string) bool { return false })
-	require.IsType(t, permit.Granted{}, i.Issue(target, 0.01, now))
+	require.IsType(t, permit.Granted{}, i.Issue(limited(0.01), permit.Grant{}, now))
 }
