--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -22,7 +22,7 @@
 	IdentityHeader http.Header
 }
 
-// Answer is the response to the caller: [Forwarded], [Merged], [NoRoute], [Unauthorized], [NotRun] or [Lost].
+// Answer is the response to the caller: [Forwarded], [Merged], [NoRoute], [Unauthorized], [OverQuota], [NotRun] or [Lost].
 type Answer interface{ answer() }
 
 // Forwarded is the answer of a target, passed through.
@@ -41,6 +41,9 @@
 // Unauthorized means that the caller is not authenticated, and that no target has run the request or will run it.
 type Unauthorized struct{ Reason string }
 
+// OverQuota means that the caller's account is over its quota. The request has not run.
+type OverQuota struct{ RetryAfter time.Duration }
+
 // NotRun means that no target has run the request or will run it.
 type NotRun struct {
 	Reason     string
@@ -58,5 +61,6 @@
 func (Merged) answer()       {}
 func (NoRoute) answer()      {}
 func (Unauthorized) answer() {}
+func (OverQuota) answer()    {}
 func (NotRun) answer()       {}
 func (Lost) answer()         {}
--- a/internal/dispatch/requestlog.go
+++ b/internal/dispatch/requestlog.go
@@ -79,6 +79,8 @@
 		return "noRoute", ""
 	case Unauthorized:
 		return "unauthorized", x.Reason
+	case OverQuota:
+		return "overQuota", ""
 	case NotRun:
 		return "notRun", x.Reason
 	case Lost:
