--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -225,3 +225,25 @@
 		})
 	}
 }
+
+// Guards against an expected latency that counts targets which may not receive work.
+func TestExpectedLatencyIsThatOfTheBestUsableTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newFixture(nil, "a", "b")
+		usable := func() bool {
+			_, ok := x.forwarder.ExpectedLatency(job(true).Route, "s")
+			return ok
+		}
+		idle, _ := x.forwarder.ExpectedLatency(job(true).Route, "s")
+		require.Positive(t, idle)
+		for _, target := range x.inventory.ByService("s") {
+			require.True(t, usable())
+			call := x.forwarder.Selector.Begin(targetselect.Class{Name: "c", Objective: time.Second}, target, time.Now())
+			call.End(targetcall.NotSent{Unreachable: true}, false, time.Now())
+		}
+		require.False(t, usable(), "all targets are unreachable")
+		_, ok := x.forwarder.ExpectedLatency(job(true).Route, "unknown")
+		require.False(t, ok)
+		x.close()
+	})
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -71,6 +71,17 @@
 	return f.Selector.TypicalLatency(Job{Route: r}.class())
 }
 
+// ExpectedLatency returns the expected latency of a new call on a route at the best target of a service that may receive
+// work; false if none may.
+func (f *Forwarder) ExpectedLatency(r routetable.Route, service string) (time.Duration, bool) {
+	now := time.Now()
+	eligible := f.Gate.Eligible(f.Inventory().ByService(service), now)
+	if lo.SomeBy(eligible, f.Permits.Required) {
+		eligible = lo.Filter(eligible, func(t inventory.Target, _ int) bool { return f.Permits.Denied(t, now) == 0 })
+	}
+	return f.Selector.ExpectedLatency(Job{Route: r}.class(), eligible, now)
+}
+
 // Zones returns, for each job, the availability zones of its service's targets that may receive work now.
 func (f *Forwarder) Zones(jobs []Job) [][]string {
 	now, inv := time.Now(), f.Inventory()
--- a/internal/targetselect/selector.go
+++ b/internal/targetselect/selector.go
@@ -87,6 +87,23 @@
 	return Selection{Target: candidates[best], Expected: expected}, true
 }
 
+// ExpectedLatency returns the expected latency of a new call to the best of the candidates that are not ejected; false
+// when there is none.
+func (s *Selector) ExpectedLatency(c Class, candidates []inventory.Target, now time.Time) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best, found := time.Duration(0), false
+	for _, t := range candidates {
+		if !s.available(t, now) {
+			continue
+		}
+		if e := s.expect(c, t, now); !found || e < best {
+			best, found = e, true
+		}
+	}
+	return best, found
+}
+
 // TypicalLatency returns the typical latency of a class: its running median.
 func (s *Selector) TypicalLatency(c Class) time.Duration {
 	s.mu.Lock()
