--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -46,7 +46,9 @@
 // assemble registers the constructors of all components. Each component is created when it is first needed.
 func (d *Daemon) assemble() do.Injector {
 	i := do.New()
-	do.ProvideValue(i, &targetselect.Selector{AvailabilityZone: d.Settings().AvailabilityZone})
+	do.ProvideValue(i, &targetselect.Selector{
+		AvailabilityZone: d.Settings().AvailabilityZone, LearnCapacity: d.Settings().Overload.LearnCapacity,
+	})
 	do.ProvideValue(i, &sendgate.Gate{})
 	do.ProvideValue(i, &retrybudget.Budget{Restarted: !d.Settings().FirstStart})
 	do.ProvideValue(i, &split.Picker{})
--- a/internal/entry/housekeeper.go
+++ b/internal/entry/housekeeper.go
@@ -173,6 +173,12 @@
 	d.options.Scope.Gauge("members").Update(float64(h.memberCount))
 	d.options.Scope.Gauge("configurationVersion").Update(float64(d.State().OperatorState.Version()))
 	d.options.Scope.Gauge("targets").Update(float64(inv.Len()))
+	if d.Settings().Overload.LearnCapacity {
+		learned := h.selector.Capacity(now)
+		d.options.Scope.Gauge("learnedCapacity").Update(learned.Limit)
+		d.options.Scope.Gauge("callsAtTargets").Update(learned.InFlight)
+		d.options.Scope.Gauge("fullTargets").Update(float64(learned.Full))
+	}
 	leaving, holding := h.gate.LeftOut(inv.All(), now)
 	for reason, n := range map[string]int{"leaving": leaving, "holdsOff": holding} {
 		d.options.Scope.Tagged(map[string]string{"reason": reason}).Gauge("targetsLeftOut").Update(float64(n))
--- a/internal/entry/reload.go
+++ b/internal/entry/reload.go
@@ -38,7 +38,8 @@
 	}
 }
 
-// reload reads the settings again. Changed seeds and rules take effect, changed addresses only after a restart.
+// reload reads the settings again. Changed seeds and rules take effect, changed addresses and
+// overload settings only after a restart.
 func (d *Daemon) reload(reason string) {
 	next, err := d.options.Reload()
 	if err != nil {
@@ -51,7 +52,7 @@
 	}
 	d.settings.Set(&next)
 	events.SettingsReloaded.Log(d.options.Log, zap.String("why", reason), zap.Strings("seeds", next.Seeds), zap.Any("rules", next.Rules),
-		zap.Bool("restartNeeded", restartSettings(next) != restartSettings(current)))
+		zap.Bool("restartNeeded", restartSettings(next) != restartSettings(current) || next.Overload != current.Overload))
 }
 
 // restartSettings returns the settings whose changes take effect only after a restart.
--- a/internal/targetselect/record.go
+++ b/internal/targetselect/record.go
@@ -7,6 +7,7 @@
 
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetcapacity"
 )
 
 const (
@@ -56,6 +57,8 @@
 	unanswered int
 	// hints holds the time of the latest stall hint of each peer.
 	hints map[string]time.Time
+	// capacity is used if the selector learns capacity.
+	capacity targetcapacity.Capacity
 }
 
 // matches reports whether the record describes this incarnation of the target.
@@ -100,6 +103,9 @@
 	return max(own, reported)
 }
 
+// full reports whether the target has reached its learned limit.
+func (r *record) full(now time.Time) bool { return r.capacity.Full(r.oldestLate(now), now) }
+
 // oldestLate returns the age of the target's oldest call that has exceeded its hedge delay, 0 when there is none.
 func (r *record) oldestLate(now time.Time) time.Duration {
 	longest := time.Duration(0)
--- a/internal/targetselect/selector.go
+++ b/internal/targetselect/selector.go
@@ -9,6 +9,7 @@
 
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
+	"github.com/knapweedpoint/knapweedpoint/internal/targetcapacity"
 )
 
 const (
@@ -43,7 +44,7 @@
 	// jitter is the maximum random share added to an expectation, so that daemons do not all choose the same target.
 	jitter = 0.15
 	// defaultSlots is assumed for a target that does not publish its number of slots.
-	defaultSlots = 2
+	defaultSlots = targetcapacity.DefaultSlots
 )
 
 // Class identifies calls with the same expected latency and carries the objective of their route.
@@ -56,6 +57,9 @@
 type Selector struct {
 	// AvailabilityZone is the daemon's own zone; targets in other zones are expected to answer later.
 	AvailabilityZone string
+	// LearnCapacity makes expectations use the learned capacity of targets instead of their published slots, and leaves
+	// targets at their learned limit out of the candidates while there are others. It must not change after the first use.
+	LearnCapacity bool
 
 	mu      sync.Mutex
 	records map[string]*record
@@ -66,6 +70,8 @@
 type Selection struct {
 	Target   inventory.Target
 	Expected time.Duration
+	// Full is set if the target is at its learned limit.
+	Full bool
 }
 
 // Pick returns the candidate that is expected to answer soonest; false when there is none.
@@ -84,7 +90,8 @@
 	if best < 0 {
 		return Selection{}, false
 	}
-	return Selection{Target: candidates[best], Expected: expected}, true
+	target := candidates[best]
+	return Selection{Target: target, Expected: expected, Full: s.full(target, now)}, true
 }
 
 // ExpectedLatency returns the expected latency of a new call to the best of the candidates that are not ejected; false
@@ -119,19 +126,35 @@
 	return !s.available(t, now)
 }
 
-// Candidates returns the targets that are not ejected or, if there are none, those that may become available again.
-// The result may alias the argument.
+// Candidates returns the targets that are neither ejected nor at their learned limit or, if there are none, those that
+// are not ejected or, if there are none, those that may become available again. The result may alias the argument.
 func (s *Selector) Candidates(targets []inventory.Target, now time.Time) []inventory.Target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if lo.EveryBy(targets, func(t inventory.Target) bool { return s.available(t, now) }) {
+	if lo.EveryBy(targets, func(t inventory.Target) bool { return s.available(t, now) && !s.full(t, now) }) {
 		return targets
 	}
 	available := lo.Filter(targets, func(t inventory.Target, _ int) bool { return s.available(t, now) })
-	if len(available) > 0 {
+	if len(available) == 0 {
+		return lo.Reject(targets, func(t inventory.Target, _ int) bool { return s.record(t).gone })
+	}
+	if !s.LearnCapacity {
 		return available
 	}
-	return lo.Reject(targets, func(t inventory.Target, _ int) bool { return s.record(t).gone })
+	free := lo.Reject(available, func(t inventory.Target, _ int) bool { return s.full(t, now) })
+	if len(free) > 0 {
+		return free
+	}
+	return available
+}
+
+// full reports whether a target has reached its learned limit. A target of which nothing is known has not.
+func (s *Selector) full(t inventory.Target, now time.Time) bool {
+	if !s.LearnCapacity {
+		return false
+	}
+	r := s.records[t.ID]
+	return r != nil && r.matches(t) && r.full(now)
 }
 
 func (s *Selector) available(t inventory.Target, now time.Time) bool {
@@ -165,6 +188,7 @@
 	if r.slots <= 0 {
 		r.slots = defaultSlots
 	}
+	r.capacity.SetPublishedSlots(t.Slots)
 	return r
 }
 
@@ -172,8 +196,12 @@
 func (s *Selector) expect(c Class, t inventory.Target, now time.Time) time.Duration {
 	typical := float64(s.medianFor(c).median)
 	r := s.record(t)
-	service := typical * r.slowness(now)
-	e := service * (1 + r.queue(now)/float64(r.slots))
+	var e float64
+	if s.LearnCapacity {
+		e = typical * r.capacity.Slowness(now) * (1 + r.capacity.InFlight(now)/float64(r.capacity.Slots()))
+	} else {
+		e = typical * r.slowness(now) * (1 + r.queue(now)/float64(r.slots))
+	}
 	e += typical * failurePenalty * r.recentFailures(now)
 	e += float64(r.oldestLate(now))
 	switch n := r.hintCount(now); {
@@ -200,7 +228,11 @@
 	r := s.record(t)
 	p := &PendingCall{selector: s, record: r, class: c, started: now}
 	p.queueAhead = r.queue(now) / float64(r.slots)
-	p.hedgeDelay = time.Duration(HedgeDelayFactor * float64(s.medianFor(c).median))
+	median := s.medianFor(c).median
+	p.hedgeDelay = time.Duration(HedgeDelayFactor * float64(median))
+	if s.LearnCapacity {
+		p.capacityStart = r.capacity.Begin(median, c.Objective, now)
+	}
 	r.calls[p] = struct{}{}
 	return p
 }
@@ -223,6 +255,33 @@
 	}
 }
 
+// Capacity sums up what is learned of some targets.
+type Capacity struct {
+	// Limit is the sum of their learned limits; InFlight that of the calls that they are expected to have.
+	Limit, InFlight float64
+	// Full is the number of targets at their limits.
+	Full int
+}
+
+// Capacity returns what is learned of the targets that have got calls; it is zero if the selector learns no capacity.
+func (s *Selector) Capacity(now time.Time) Capacity {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var sum Capacity
+	if !s.LearnCapacity {
+		return sum
+	}
+	for _, r := range s.records {
+		late := r.oldestLate(now)
+		sum.Limit += r.capacity.Limit(late, now)
+		sum.InFlight += r.capacity.InFlight(now)
+		if r.capacity.Full(late, now) {
+			sum.Full++
+		}
+	}
+	return sum
+}
+
 // PendingCall is one call in flight.
 type PendingCall struct {
 	selector   *Selector
@@ -231,6 +290,8 @@
 	started    time.Time
 	queueAhead float64
 	hedgeDelay time.Duration
+	// capacityStart is set if the selector learns capacity.
+	capacityStart targetcapacity.Started
 }
 
 // HedgeDelay returns how long the call may take before its target counts as stalled and the call is hedged.
@@ -241,6 +302,9 @@
 	p.selector.mu.Lock()
 	defer p.selector.mu.Unlock()
 	delete(p.record.calls, p)
+	if p.selector.LearnCapacity {
+		p.learn(result, cancelled, now)
+	}
 	if cancelled {
 		p.ejectUnresponsive(now)
 		return
@@ -261,6 +325,28 @@
 	}
 }
 
+// learn records the end of the call in the target's capacity.
+func (p *PendingCall) learn(result targetcall.Result, cancelled bool, now time.Time) {
+	c := &p.record.capacity
+	c.End()
+	if cancelled {
+		c.Cancelled(p.capacityStart, now)
+		return
+	}
+	switch x := result.(type) {
+	case targetcall.Answered:
+		c.Reported(x.Load, true, now)
+		if x.Final() {
+			c.Answered(p.capacityStart, now)
+		}
+	case targetcall.Refused:
+		if !x.OtherIncarnation && !x.Leaving {
+			c.Refused(x.Load, now)
+		}
+	case targetcall.NotSent, targetcall.Unknown:
+	}
+}
+
 func (p *PendingCall) answered(a targetcall.Answered, now time.Time) {
 	p.recordLoad(a.Load, now)
 	if !a.Final() {
--- a/internal/targetselect/selector_test.go
+++ b/internal/targetselect/selector_test.go
@@ -1,6 +1,7 @@
 package targetselect_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,16 +89,64 @@
 		}, 0.7},
 		{"nothing", func(*targetselect.Selector) {}, 0.7},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := &targetselect.Selector{}
-				c.record(s)
-				got := shareOfA(s)
-				require.LessOrEqual(t, got, c.maxShare)
-				if c.maxShare > 0 {
-					require.Greater(t, got, 1-c.maxShare)
-				}
+		for _, learn := range []bool{false, true} {
+			t.Run(fmt.Sprint(c.name, ", learned capacity ", learn), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := &targetselect.Selector{LearnCapacity: learn}
+					c.record(s)
+					got := shareOfA(s)
+					require.LessOrEqual(t, got, c.maxShare)
+					if c.maxShare > 0 {
+						require.Greater(t, got, 1-c.maxShare)
+					}
+				})
 			})
+		}
+	}
+}
+
+// Guards against calls to a target at its limit while another has free slots, and against a service without candidates
+// because all of its targets are at their limits or stalled.
+func TestTargetsAtTheirLimitAreCandidatesOnlyIfAllAre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &targetselect.Selector{LearnCapacity: true}
+		both := []inventory.Target{a, b}
+		for range 2 {
+			answer(s, a, 20*time.Millisecond, targetcall.Load{})
+			answer(s, b, 20*time.Millisecond, targetcall.Load{})
+		}
+		require.Equal(t, both, s.Candidates(both, time.Now()))
+		for range 20 {
+			s.Begin(class, a, time.Now())
+		}
+		require.Equal(t, []inventory.Target{b}, s.Candidates(both, time.Now()))
+		s.Begin(class, b, time.Now()).End(targetcall.Refused{Load: targetcall.Load{Known: true, Running: 2, Waiting: 12, Slots: 2}}, false, time.Now())
+		require.Equal(t, both, s.Candidates(both, time.Now()))
+		selection, _ := s.Pick(class, both, time.Now())
+		require.True(t, selection.Full)
+		require.Equal(t, 2, s.Capacity(time.Now()).Full)
+		time.Sleep(250 * time.Millisecond)
+		require.Equal(t, []inventory.Target{b}, s.Candidates(both, time.Now()), "b has had time to end its calls, a has its calls still")
+		selection, _ = s.Pick(class, both, time.Now())
+		require.False(t, selection.Full)
+	})
+}
+
+// BenchmarkCall is the cost of a call in the selector, with four targets and load reports. It must not allocate more with
+// learned capacity than without.
+func BenchmarkCall(bench *testing.B) {
+	for _, learn := range []bool{false, true} {
+		bench.Run(fmt.Sprint("learned capacity ", learn), func(bench *testing.B) {
+			s := &targetselect.Selector{LearnCapacity: learn}
+			targets := []inventory.Target{a, b, {ID: "c", Slots: 2}, {ID: "d", Slots: 2}}
+			now := time.Now()
+			bench.ReportAllocs()
+			for bench.Loop() {
+				selection, _ := s.Pick(class, s.Candidates(targets, now), now)
+				call := s.Begin(class, selection.Target, now)
+				now = now.Add(5 * time.Millisecond)
+				call.End(targetcall.Answered{Status: 200, Signature: "x", Load: targetcall.Load{Known: true, Running: 2, Slots: 2, Pace: 1.3}}, false, now)
+			}
 		})
 	}
 }
