--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -27,7 +27,8 @@
 	maxCalls = 4096
 )
 
-// Aggregator runs the calls of requesting daemons. All exported fields except Scope and Log are required.
+// Aggregator runs the calls of requesting daemons. All exported fields are required unless they are
+// marked as optional.
 type Aggregator struct {
 	// Name is the name of this daemon. Its own calls are not refused while it drains, because it waits for its callers.
 	Name string
@@ -38,8 +39,12 @@
 	Ready func() bool
 	// Workers runs the calls.
 	Workers *workers.Pool
-	Scope   tally.Scope
-	Log     *zap.Logger
+	// ReportLoads reports whether replies name the shards that would answer a new call late. It is optional; without it
+	// they do not.
+	ReportLoads func() bool
+	// Scope and Log are optional.
+	Scope tally.Scope
+	Log   *zap.Logger
 
 	mu    sync.Mutex
 	calls map[key]*call
--- a/internal/aggregator/call.go
+++ b/internal/aggregator/call.go
@@ -67,6 +67,8 @@
 	blocks []*gossippb.PartsBlock
 	// granted is set once the requesting daemon has given a hedge grant; it then queries no fallback aggregator.
 	granted bool
+	// reportedLate is set if the latest reply named late shards.
+	reportedLate bool
 	// probe is the state of the grant for a single hedge.
 	probe probe
 }
@@ -105,6 +107,7 @@
 	if c.ctx.Err() != nil {
 		return
 	}
+	defer c.followUp()
 	batch := c.aggregator.Forwarder.Start(c.jobs())
 	defer batch.Release()
 	hedgeDelay := time.Duration(targetselect.HedgeDelayFactor * float64(c.aggregator.Forwarder.TypicalLatency(partswire.DecodeRoute(c.message))))
@@ -190,7 +193,12 @@
 
 // sendBlocks replies with the blocks from index first on. The caller must hold mu.
 func (c *call) sendBlocks(first int) {
-	c.reply(&gossippb.PartsReply{Id: c.message.GetId(), Blocks: slices.Clone(c.blocks[first:]), First: uint32(first), Asks: !c.granted && c.probe == noProbe})
+	loads := c.loads()
+	c.reportedLate = len(loads) > 0
+	c.reply(&gossippb.PartsReply{
+		Id: c.message.GetId(), Blocks: slices.Clone(c.blocks[first:]), First: uint32(first),
+		Asks: !c.granted && c.probe == noProbe, Loads: loads,
+	})
 }
 
 // resend replies with all blocks to a requesting daemon that has missed a reply.
--- a/internal/aggregatorclient/batch.go
+++ b/internal/aggregatorclient/batch.go
@@ -106,7 +106,7 @@
 }
 
 func (b *batch) call(g *shardGroup, attempts int, now time.Time) {
-	g.id = b.client.register(b)
+	g.id = b.client.register(b, b.shards(g))
 	g.attempts = attempts
 	g.pending = lo.SliceToMap(lo.Range(len(g.indexes)), func(i int) (int, bool) { return i, true })
 	g.lastReply = now
@@ -128,11 +128,30 @@
 	})
 }
 
+// Begin queries aggregators for deferred shards.
+func (b *batch) Begin(indexes []int) {
+	for _, i := range indexes {
+		b.jobs[i].Deferred = false
+	}
+	now := time.Now()
+	begun := lo.Map(b.jobs, func(j forward.Job, i int) forward.Job {
+		j.Deferred = !lo.Contains(indexes, i)
+		return j
+	})
+	for aggregator, group := range b.client.groupByAggregator(b.plan, begun, now) {
+		b.start(aggregator, group, now)
+	}
+}
+
+func (b *batch) shards(g *shardGroup) []string {
+	return lo.Map(g.indexes, func(index, _ int) string { return b.jobs[index].Service })
+}
+
 func (b *batch) encodeCall(g *shardGroup, now time.Time) *gossippb.PartsCall {
 	route := b.search.Route
 	return &gossippb.PartsCall{
 		Id:              g.id,
-		Shards:          lo.Map(g.indexes, func(index, _ int) string { return b.jobs[index].Service }),
+		Shards:          b.shards(g),
 		Host:            route.Host,
 		Prefix:          route.Prefix,
 		Attempts:        uint32(g.attempts),
--- a/internal/aggregatorclient/client.go
+++ b/internal/aggregatorclient/client.go
@@ -14,6 +14,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
 	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
 	"github.com/knapweedpoint/knapweedpoint/internal/scatter"
+	"github.com/knapweedpoint/knapweedpoint/internal/shardload"
 )
 
 const (
@@ -46,8 +47,8 @@
 	SendLoopback(r *gossippb.PartsReply)
 }
 
-// Client is a scatter.Runner that queries shards through aggregators. All exported fields except Scope and Log are
-// required.
+// Client is a scatter.Runner that queries shards through aggregators. All exported fields are required unless
+// they are marked as optional.
 type Client struct {
 	// Name is the name of this daemon; AvailabilityZone is the zone that it runs in.
 	Name             string
@@ -55,8 +56,11 @@
 	Direct           scatter.Direct
 	Table            *blackboard.Cell[assignment.Table]
 	Peers            Peers
-	Scope            tally.Scope
-	Log              *zap.Logger
+	// Loads keeps what aggregators report about late shards. It is optional; without it reports are ignored.
+	Loads *shardload.Register
+	// Scope and Log are optional.
+	Scope tally.Scope
+	Log   *zap.Logger
 
 	mu sync.Mutex
 	// pendingCalls holds the searches in progress by the IDs of their calls.
@@ -64,6 +68,8 @@
 	// deprioritized holds the aggregators that were unresponsive or refused a call, and until when they are queried
 	// last.
 	deprioritized map[string]time.Time
+	// callShards holds the shards of the latest calls by the IDs of the calls. It is empty without Loads.
+	callShards map[uint64][]string
 }
 
 // Start sends the jobs to the aggregators of their shards. Searches without aggregators query the targets from this
@@ -99,6 +105,7 @@
 
 // HandleReply passes the reply of a process of an aggregator to the search that it belongs to.
 func (c *Client) HandleReply(aggregator string, process uint64, r *gossippb.PartsReply) {
+	c.recordLoads(aggregator, process, r, time.Now())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !r.GetEcho() {
@@ -126,6 +133,9 @@
 	first := map[aggregatorKey]string{}
 	out := map[string][]int{}
 	for i, j := range jobs {
+		if j.Deferred {
+			continue
+		}
 		k := aggregatorKey{zone: p.zones[i], bucket: assignment.Bucket(j.Service)}
 		if _, ok := first[k]; !ok {
 			first[k] = c.choose(p.aggregators(i, j.Service), now)
@@ -170,8 +180,8 @@
 	c.deprioritized[aggregator] = now.Add(deprioritizeFor)
 }
 
-// register returns a new ID for a call of a search.
-func (c *Client) register(b *batch) uint64 {
+// register returns a new ID for a call for some shards of a search.
+func (c *Client) register(b *batch, shards []string) uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.pendingCalls == nil {
@@ -179,6 +189,7 @@
 	}
 	id := rand.Uint64()
 	c.pendingCalls[id] = b
+	c.retainShards(id, shards)
 	return id
 }
 
--- a/internal/aggregatorclient/plan.go
+++ b/internal/aggregatorclient/plan.go
@@ -41,7 +41,7 @@
 // are gathered in the zones of their targets, so that only merged results cross between zones.
 func (c *Client) plan(s scatter.Search, jobs []forward.Job) (plan, bool) {
 	table := c.Table.Get()
-	if table == nil || !s.Route.Idempotent || len(s.Request.Body) > maxBody {
+	if !sentByAggregators(table, s) {
 		return plan{}, false
 	}
 	p := plan{table: table, self: c.Name, zone: c.AvailabilityZone, key: s.Request.ID, viaAggregators: table.UsesAggregators(len(jobs))}
@@ -52,6 +52,11 @@
 	return p, true
 }
 
+// sentByAggregators reports whether aggregators may query the targets of a search.
+func sentByAggregators(table *assignment.Table, s scatter.Search) bool {
+	return table != nil && s.Route.Idempotent && len(s.Request.Body) <= maxBody
+}
+
 // gatherZones returns the zone in which the shard of each job is gathered. A shard whose targets are in no zone with
 // daemons is gathered in the zone of this daemon.
 func (c *Client) gatherZones(table *assignment.Table, key string, jobs []forward.Job) []string {
--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -29,6 +29,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
 	"github.com/knapweedpoint/knapweedpoint/internal/scatter"
 	"github.com/knapweedpoint/knapweedpoint/internal/sendgate"
+	"github.com/knapweedpoint/knapweedpoint/internal/shardload"
 	"github.com/knapweedpoint/knapweedpoint/internal/split"
 	"github.com/knapweedpoint/knapweedpoint/internal/stallhint"
 	"github.com/knapweedpoint/knapweedpoint/internal/storesync"
@@ -46,7 +47,7 @@
 // assemble registers the constructors of all components. Each component is created when it is first needed.
 func (d *Daemon) assemble() do.Injector {
 	i := do.New()
-	do.ProvideValue(i, &targetselect.Selector{AvailabilityZone: d.Settings().AvailabilityZone})
+	do.ProvideValue(i, &targetselect.Selector{AvailabilityZone: d.Settings().AvailabilityZone, CountsCancelled: d.omitsLateShards()})
 	do.ProvideValue(i, &sendgate.Gate{})
 	do.ProvideValue(i, &retrybudget.Budget{Restarted: !d.Settings().FirstStart})
 	do.ProvideValue(i, &split.Picker{})
@@ -199,6 +200,7 @@
 		Forwarder:   do.MustInvoke[*forward.Forwarder](i),
 		Ready:       func() bool { return d.State().Configured() },
 		Workers:     &d.sends,
+		ReportLoads: d.omitsLateShards,
 		Scope:       d.options.Scope,
 		Log:         d.options.Log,
 	}, nil
@@ -210,6 +212,7 @@
 		Direct: scatter.Direct{Forwarder: do.MustInvoke[*forward.Forwarder](i)},
 		Table:  &d.assignments,
 		Peers:  aggregators{daemon: d},
+		Loads:  &shardload.Register{},
 		Scope:  d.options.Scope,
 		Log:    d.options.Log,
 	}, nil
@@ -221,7 +224,7 @@
 	return &dispatch.Dispatcher{
 		State:     d.State,
 		Forwarder: f,
-		Gatherer:  &scatter.Gatherer{Runner: do.MustInvoke[*aggregatorclient.Client](i), Margin: margin, Refuses: d.refuses, UnansweredLosses: d.unansweredLosses},
+		Gatherer:  &scatter.Gatherer{Runner: do.MustInvoke[*aggregatorclient.Client](i), Margin: margin, Refuses: d.refuses, UnansweredLosses: d.unansweredLosses, OmitsLateShards: d.omitsLateShards, Scope: d.options.Scope},
 		Splits:    do.MustInvoke[*split.Picker](i),
 		Margin:    margin,
 		Log:       d.options.Log,
@@ -229,6 +232,9 @@
 	}, nil
 }
 
+// omitsLateShards reports whether searches leave out the shards that would answer late.
+func (d *Daemon) omitsLateShards() bool { return d.Settings().Overload.OmitLateShards }
+
 func (d *Daemon) newHousekeeper(i do.Injector) (*housekeeper, error) {
 	return &housekeeper{
 		daemon:   d,
--- a/internal/forward/batch.go
+++ b/internal/forward/batch.go
@@ -41,16 +41,31 @@
 	b.startedAt = now
 	for i, j := range jobs {
 		b.runs[i] = run{batch: b, index: i, job: j}
-		if !j.AlreadySent {
+		if !j.AlreadySent && !j.Deferred {
 			f.Budget.CountRequest(j.Service, now)
 		}
 	}
 	for i := range b.runs {
-		b.finish(&b.runs[i], b.runs[i].start(now))
+		if !b.runs[i].job.Deferred {
+			b.finish(&b.runs[i], b.runs[i].start(now))
+		}
 	}
 	return b
 }
 
+// Begin starts deferred jobs.
+func (b *Batch) Begin(indexes []int) {
+	now := time.Now()
+	for _, i := range indexes {
+		r := &b.runs[i]
+		r.job.Deferred = false
+		if !r.job.AlreadySent {
+			b.forwarder.Budget.CountRequest(r.job.Service, now)
+		}
+		b.finish(r, r.start(now))
+	}
+}
+
 // Next returns the next job that has a result, in a slice of one. It returns none when wake passes, unless wake is
 // zero, or when ctx is done before that.
 func (b *Batch) Next(ctx context.Context, wake time.Time) []JobResult {
@@ -94,7 +109,7 @@
 	next := wake
 	for i := range b.runs {
 		r := &b.runs[i]
-		if r.outcome != nil {
+		if r.ended() {
 			continue
 		}
 		if at := r.due(); next.IsZero() || at.Before(next) {
@@ -107,7 +122,7 @@
 func (b *Batch) tick(now time.Time) {
 	for i := range b.runs {
 		r := &b.runs[i]
-		if r.outcome == nil && !now.Before(r.due()) {
+		if !r.ended() && !now.Before(r.due()) {
 			b.finish(r, r.tick(now))
 		}
 	}
--- a/internal/forward/crashing.go
+++ b/internal/forward/crashing.go
@@ -68,7 +68,7 @@
 		if r.hedgeHeld && b.answered {
 			r.hedgeHeld, r.hedgeAt = false, now
 		}
-		if r.outcome == nil && !r.held && b.mayCrashTargets() {
+		if !r.ended() && !r.held && b.mayCrashTargets() {
 			return
 		}
 		held = held || r.held
--- a/internal/forward/job.go
+++ b/internal/forward/job.go
@@ -18,6 +18,8 @@
 	// AlreadySent is set when another daemon may have sent the request to the service before. The job then adds nothing
 	// to the retry budget, and its first send is charged to the budget as an additional send.
 	AlreadySent bool
+	// Deferred is set if the job starts only when Batch.Begin is called for it.
+	Deferred bool
 	// PartOfSearch is set for the jobs of a search. Once a call of such a job has broken, no other target gets the search again
 	// before a target has answered it, because it may crash the targets that run it.
 	PartOfSearch bool
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -86,6 +86,9 @@
 	return nil
 }
 
+// ended reports whether the run has nothing to do: its job has ended or is deferred.
+func (r *run) ended() bool { return r.outcome != nil || r.job.Deferred }
+
 // due returns when the run has to act next.
 func (r *run) due() time.Time {
 	at := r.job.Deadline
--- a/internal/scatter/collection.go
+++ b/internal/scatter/collection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
@@ -13,7 +14,9 @@
 type collection struct {
 	search Search
 	need   int
-	// unfinished is the number of shards without a result.
+	// omitted holds the positions of the shards that are left out, the latest first.
+	omitted []int
+	// unfinished is the number of queried shards without a result.
 	unfinished int
 	heap       topk.Heap
 	signatures []string
@@ -47,6 +50,7 @@
 			wake = time.Time{}
 			c.cutoffAt = time.Now()
 		}
+		c.beginOmitted(batch)
 		if len(c.signatures)+c.unfinished < c.need {
 			return c.fail()
 		}
@@ -57,6 +61,17 @@
 	return c.merge()
 }
 
+// beginOmitted queries as many omitted shards, the soonest first, as the search needs in place of others that have failed.
+func (c *collection) beginOmitted(batch Batch) {
+	n := min(c.need-len(c.signatures)-c.unfinished, len(c.omitted))
+	if n <= 0 {
+		return
+	}
+	rest := len(c.omitted) - n
+	batch.Begin(c.omitted[rest:])
+	c.omitted, c.unfinished = c.omitted[:rest], c.unfinished+n
+}
+
 // endEarly returns the outcome with the parts that have arrived.
 func (c *collection) endEarly() Outcome {
 	if len(c.signatures) >= c.need {
@@ -113,6 +128,10 @@
 	t := Trace{Anomalies: map[string]forward.Trace{}, Missing: map[string]string{}}
 	for i, s := range shards {
 		r := c.results[i]
+		if slices.Contains(c.omitted, i) {
+			t.Missing[s] = ReasonExpectedLate
+			continue
+		}
 		if r.Outcome == nil {
 			t.Missing[s] = "notYet"
 			t.Anomalies[s] = batch.PendingTrace(i, now)
--- a/internal/scatter/direct.go
+++ b/internal/scatter/direct.go
@@ -12,6 +12,11 @@
 // Start sends each job to its first target.
 func (d Direct) Start(_ Search, jobs []forward.Job) Batch { return d.Forwarder.Start(jobs) }
 
+// ExpectedLatency returns the expected latency of a new call for a shard of a search; false if it is unknown.
+func (d Direct) ExpectedLatency(s Search, shard string) (time.Duration, bool) {
+	return d.Forwarder.ExpectedLatency(s.Route, shard)
+}
+
 // Reachable reports whether any target of the service may receive work now.
 func (d Direct) Reachable(service string) bool { return d.Forwarder.Reachable(service) }
 
--- a/internal/scatter/gatherer.go
+++ b/internal/scatter/gatherer.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/samber/lo"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
 	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
+	"github.com/knapweedpoint/knapweedpoint/internal/shardplan"
 	"github.com/knapweedpoint/knapweedpoint/internal/targetcall"
 	"github.com/knapweedpoint/knapweedpoint/internal/timerlag"
 	"github.com/knapweedpoint/knapweedpoint/internal/topk"
@@ -28,7 +30,7 @@
 
 // Runner runs the jobs of a search.
 type Runner interface {
-	// Start begins a search with one job for each shard.
+	// Start begins a search with one job for each shard, without the deferred ones.
 	Start(s Search, jobs []forward.Job) Batch
 	// Reachable reports whether any target of the service may receive work now.
 	Reachable(service string) bool
@@ -37,6 +39,8 @@
 	// HoldWait returns how long it takes until the first of a service's targets that have asked for a hold may receive
 	// work; false when there is none.
 	HoldWait(service string) (time.Duration, bool)
+	// ExpectedLatency returns the expected latency of a new call for a shard of a search; false if it is unknown.
+	ExpectedLatency(s Search, shard string) (time.Duration, bool)
 }
 
 // Batch is the set of jobs of one search in progress. forward.Batch implements it.
@@ -44,6 +48,8 @@
 	// Next returns the next jobs that have a result. Their parts must be used together: the first one may carry the
 	// records of all. Next returns none when wake passes, unless wake is zero, or when ctx is done before that.
 	Next(ctx context.Context, wake time.Time) []forward.JobResult
+	// Begin starts deferred jobs.
+	Begin(indexes []int)
 	// PendingTrace returns the trace of a job without a result.
 	PendingTrace(index int, now time.Time) forward.Trace
 	// Abandon cancels the sends in flight.
@@ -66,6 +72,14 @@
 	// sent to one shard first. It is optional; without it each request is sent to all shards at once.
 	UnansweredLosses func(r targetcall.Request) []string
 
+	// OmitsLateShards reports whether searches leave out the shards that would answer late. It is optional; without it
+	// they leave out none.
+	OmitsLateShards func() bool
+	// Planner chooses those shards.
+	Planner shardplan.Planner
+	// Scope is optional.
+	Scope tally.Scope
+
 	// lag tracks how much later than planned this daemon acts.
 	lag timerlag.Tracker
 }
@@ -89,8 +103,10 @@
 	shards := s.Scatter.Shards
 	need := RequiredShards(len(shards), s.Scatter.MinCoverage)
 	out := NotRun{Reason: forward.ReasonNoTarget}
-	waits := lo.FilterMap(shards, func(shard string, _ int) (time.Duration, bool) {
+	unavailable := map[int]bool{}
+	waits := lo.FilterMap(shards, func(shard string, i int) (time.Duration, bool) {
 		wait, reason := g.unavailable(s.Request, shard)
+		unavailable[i] = reason != ""
 		out.Reason = lo.Ternary(reason == "" || reason == forward.ReasonNoTarget, out.Reason, reason)
 		return wait, reason != ""
 	})
@@ -103,14 +119,14 @@
 		return forward.Job{Service: shard, Route: s.Route, Request: s.Request, Deadline: s.Deadline, PartOfSearch: true}
 	})
 	s.Cutoff = s.ReceivedAt.Add(s.Route.Objective - min(g.Margin+g.lag.Estimate(), s.Route.Objective/maxEarlyDivisor))
-	batch, ok := g.start(s, jobs)
+	batch, omitted, ok := g.start(s, jobs, omission{unavailable: unavailable, allowed: len(shards) - need - len(waits)})
 	if !ok {
 		return NotRun{Reason: forward.ReasonCrashesTargets, RetryAfter: retryAfterSuspicion}, Trace{}
 	}
 	defer batch.Release()
 	c := &collection{
-		search: s, need: need, unfinished: len(shards), heap: topk.Heap{Limit: s.Scatter.TopK},
-		results: make([]forward.JobResult, len(shards)),
+		search: s, need: need, unfinished: len(shards) - len(omitted), heap: topk.Heap{Limit: s.Scatter.TopK},
+		results: make([]forward.JobResult, len(shards)), omitted: omitted,
 	}
 	collected := c.collect(ctx, batch)
 	if c.cutoffAt.After(s.Cutoff) {
@@ -123,21 +139,25 @@
 	return collected, trace
 }
 
-// start begins a search: with one shard if the request may crash its targets. It returns false if no shard has a target to spare
-// for that.
-func (g *Gatherer) start(s Search, jobs []forward.Job) (Batch, bool) {
+// start begins a search: with one shard if the request may crash its targets. It returns the positions of the shards that
+// are left out, and false if no shard has a target to spare for a search that may crash targets.
+func (g *Gatherer) start(s Search, jobs []forward.Job, o omission) (Batch, []int, bool) {
 	var lost []string
 	if g.UnansweredLosses != nil {
 		lost = g.UnansweredLosses(s.Request)
 	}
 	if len(lost) == 0 {
-		return g.Runner.Start(s, jobs), true
+		omitted := g.omit(s, jobs, o)
+		for _, i := range omitted {
+			jobs[i].Deferred = true
+		}
+		return g.Runner.Start(s, jobs), omitted, true
 	}
 	spare := lo.Filter(lo.Range(len(jobs)), func(i, _ int) bool { return g.Runner.Live(jobs[i].Service, lost) > 1 })
 	if len(spare) == 0 {
-		return nil, false
+		return nil, nil, false
 	}
-	return newTrial(g.Runner, s, jobs, lo.Sample(spare)), true
+	return newTrial(g.Runner, s, jobs, lo.Sample(spare)), nil, true
 }
 
 // unavailable returns why a shard can't be queried and for how long; the reason is empty if it can.
--- a/internal/scatter/trial.go
+++ b/internal/scatter/trial.go
@@ -65,6 +65,9 @@
 	return forward.Trace{}
 }
 
+// Begin does nothing: a search that may crash its targets leaves out no shard.
+func (t *trial) Begin([]int) {}
+
 // Abandon cancels the sends in flight.
 func (t *trial) Abandon() { t.batch.Abandon() }
 
--- a/internal/targetselect/selector.go
+++ b/internal/targetselect/selector.go
@@ -56,6 +56,8 @@
 type Selector struct {
 	// AvailabilityZone is the daemon's own zone; targets in other zones are expected to answer later.
 	AvailabilityZone string
+	// CountsCancelled is set if late calls that were cancelled count as samples of their targets' latency.
+	CountsCancelled bool
 
 	mu      sync.Mutex
 	records map[string]*record
@@ -225,6 +227,7 @@
 	defer p.selector.mu.Unlock()
 	delete(p.record.calls, p)
 	if cancelled {
+		p.addCancelled(now)
 		p.ejectUnresponsive(now)
 		return
 	}
