--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -30,6 +30,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/roster"
 	"github.com/knapweedpoint/knapweedpoint/internal/scatter"
 	"github.com/knapweedpoint/knapweedpoint/internal/sendgate"
+	"github.com/knapweedpoint/knapweedpoint/internal/shardload"
 	"github.com/knapweedpoint/knapweedpoint/internal/split"
 	"github.com/knapweedpoint/knapweedpoint/internal/stallhint"
 	"github.com/knapweedpoint/knapweedpoint/internal/storesync"
@@ -48,7 +49,7 @@
 func (d *Daemon) assemble() do.Injector {
 	i := do.New()
 	do.ProvideValue(i, &targetselect.Selector{
-		AvailabilityZone: d.Settings().AvailabilityZone, LearnCapacity: d.Settings().Overload.LearnCapacity,
+		AvailabilityZone: d.Settings().AvailabilityZone, LearnCapacity: d.Settings().Overload.LearnCapacity, CountsCancelled: d.omitsLateShards(),
 	})
 	do.ProvideValue(i, &sendgate.Gate{})
 	do.ProvideValue(i, &retrybudget.Budget{Restarted: !d.Settings().FirstStart})
@@ -215,6 +216,7 @@
 		Forwarder:   do.MustInvoke[*forward.Forwarder](i),
 		Ready:       func() bool { return d.State().Configured() },
 		Workers:     &d.sends,
+		ReportLoads: d.omitsLateShards,
 		Scope:       d.options.Scope,
 		Log:         d.options.Log,
 	}, nil
@@ -226,6 +228,7 @@
 		Direct: scatter.Direct{Forwarder: do.MustInvoke[*forward.Forwarder](i)},
 		Table:  &d.assignments,
 		Peers:  aggregators{daemon: d},
+		Loads:  &shardload.Register{},
 		Scope:  d.options.Scope,
 		Log:    d.options.Log,
 	}, nil
@@ -237,7 +240,7 @@
 	return &dispatch.Dispatcher{
 		State:     d.State,
 		Forwarder: f,
-		Gatherer:  &scatter.Gatherer{Runner: do.MustInvoke[*aggregatorclient.Client](i), Margin: margin, Refuses: d.refuses, UnansweredLosses: d.unansweredLosses},
+		Gatherer:  &scatter.Gatherer{Runner: do.MustInvoke[*aggregatorclient.Client](i), Margin: margin, Refuses: d.refuses, UnansweredLosses: d.unansweredLosses, OmitsLateShards: d.omitsLateShards, Scope: d.options.Scope},
 		Splits:    do.MustInvoke[*split.Picker](i),
 		Margin:    margin,
 		Quota:     do.MustInvoke[*accountquota.Admission](i),
@@ -246,6 +249,9 @@
 	}, nil
 }
 
+// omitsLateShards reports whether searches leave out the shards that would answer late.
+func (d *Daemon) omitsLateShards() bool { return d.Settings().Overload.OmitLateShards }
+
 func (d *Daemon) newHousekeeper(i do.Injector) (*housekeeper, error) {
 	return &housekeeper{
 		daemon:   d,
--- a/internal/targetselect/selector.go
+++ b/internal/targetselect/selector.go
@@ -60,6 +60,8 @@
 	// LearnCapacity makes expectations use the learned capacity of targets instead of their published slots, and leaves
 	// targets at their learned limit out of the candidates while there are others. It must not change after the first use.
 	LearnCapacity bool
+	// CountsCancelled is set if late calls that were cancelled count as samples of their targets' latency.
+	CountsCancelled bool
 
 	mu      sync.Mutex
 	records map[string]*record
@@ -94,23 +96,6 @@
 	return Selection{Target: target, Expected: expected, Full: s.full(target, now)}, true
 }
 
-// ExpectedLatency returns the expected latency of a new call to the best of the candidates that are not ejected; false
-// when there is none.
-func (s *Selector) ExpectedLatency(c Class, candidates []inventory.Target, now time.Time) (time.Duration, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	best, found := time.Duration(0), false
-	for _, t := range candidates {
-		if !s.available(t, now) {
-			continue
-		}
-		if e := s.expect(c, t, now); !found || e < best {
-			best, found = e, true
-		}
-	}
-	return best, found
-}
-
 // TypicalLatency returns the typical latency of a class: its running median.
 func (s *Selector) TypicalLatency(c Class) time.Duration {
 	s.mu.Lock()
@@ -306,6 +291,7 @@
 		p.learn(result, cancelled, now)
 	}
 	if cancelled {
+		p.addCancelled(now)
 		p.ejectUnresponsive(now)
 		return
 	}
