--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -2,15 +2,21 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/account"
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
 	"github.com/knapweedpoint/knapweedpoint/internal/crashguard"
 	"github.com/knapweedpoint/knapweedpoint/internal/dispatch"
+	"github.com/knapweedpoint/knapweedpoint/internal/events"
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
 	"github.com/knapweedpoint/knapweedpoint/internal/operatorstate"
@@ -109,6 +115,89 @@
 	}
 }
 
+// publish publishes a version in which the account "anna" has the given keys; without keys there is no account.
+func (x *fixture) publish(version uint64, keys ...string) {
+	route := func(prefix string, d routetable.Destination) routetable.Route {
+		return routetable.Route{Name: prefix, Host: "h", Prefix: prefix, Idempotent: true, Attempts: 2, Objective: 100 * time.Millisecond, Public: prefix == "/public/", Destination: d}
+	}
+	one, all := routetable.Single{Service: "s"}, routetable.Scatter{Shards: []string{"t", "u"}, TopK: 5, MinCoverage: 1}
+	table := routetable.New(version, []routetable.Route{route("/one/", one), route("/public/", one), route("/all/", all)}, nil, routetable.Limits{})
+	if len(keys) > 0 {
+		table = table.WithAccounts(account.NewTable([]account.Keyed{{Account: account.Account{Name: "anna"}, Keys: keys}}))
+	}
+	targets := []inventory.Target{{ID: "s1", Service: "s"}, {ID: "s2", Service: "s"}, {ID: "t1", Service: "t"}, {ID: "u1", Service: "u"}}
+	x.cell.Set(&platformstate.State{Inventory: inventory.New(1, targets), OperatorState: operatorstate.State{Table: table}})
+}
+
+// Guards against requests that run without a key or under the name that the caller chose, against those that are sent, or sent
+// again, with a key that was revoked meanwhile, against the end of those that a target may be running, and against a flood of log
+// lines.
+func TestAuthentication(t *testing.T) {
+	full := scriptedtarget.Behaviour{Delay: 5 * time.Millisecond, Result: targetcall.Refused{}}
+	failed := scriptedtarget.Behaviour{Delay: 5 * time.Millisecond, Result: scriptedtarget.Failure("s1")}
+	slow := scriptedtarget.Behaviour{Delay: 20 * time.Millisecond}
+	key, one, kept, revoked := account.HashKey("k1"), []string{"k1"}, []string{"k2", "k1"}, []string{"k2"}
+	for name, c := range map[string]struct {
+		path       string
+		credential account.Credential
+		target     scriptedtarget.Behaviour
+		// keys are those of the version in force, later those of the version that is published while the first targets work.
+		keys, later []string
+		want        dispatch.Answer
+		sends       int
+		// account and identity are what the target gets.
+		account, identity string
+	}{
+		"key":                   {"/one/", key, slow, one, kept, dispatch.Forwarded{}, 1, "anna", ""},
+		"unknown key":           {"/one/", key, slow, revoked, one, dispatch.Unauthorized{Reason: dispatch.ReasonUnknownKey}, 0, "", ""},
+		"no credential":         {"/all/", nil, slow, one, one, dispatch.Unauthorized{Reason: dispatch.ReasonMissingKey}, 0, "", ""},
+		"malformed":             {"/one/", account.Malformed{}, slow, one, one, dispatch.Unauthorized{Reason: dispatch.ReasonMalformedKey}, 0, "", ""},
+		"repeated":              {"/one/", account.Repeated{}, slow, one, one, dispatch.Unauthorized{Reason: dispatch.ReasonRepeatedKey}, 0, "", ""},
+		"no route":              {"/none/", account.Missing{}, slow, one, one, dispatch.NoRoute{}, 0, "", ""},
+		"public route":          {"/public/", key, slow, one, one, dispatch.Forwarded{}, 1, "", ""},
+		"no accounts":           {"/one/", account.Malformed{}, slow, nil, one, dispatch.Forwarded{}, 1, "", "caller"},
+		"revoked, full target":  {"/one/", key, full, one, revoked, dispatch.Unauthorized{Reason: dispatch.ReasonRevokedKey}, 1, "anna", ""},
+		"revoked, full shards":  {"/all/", key, full, one, revoked, dispatch.Unauthorized{Reason: dispatch.ReasonRevokedKey}, 2, "anna", ""},
+		"revoked, running":      {"/all/", key, slow, one, revoked, dispatch.Merged{}, 2, "anna", ""},
+		"revoked, target fails": {"/one/", key, failed, one, revoked, dispatch.Forwarded{}, 2, "anna", ""},
+		"kept, full target":     {"/one/", key, full, one, kept, dispatch.NotRun{}, 6, "anna", ""},
+		"accounts removed":      {"/one/", key, full, one, nil, dispatch.NotRun{}, 6, "anna", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				core, logs := observer.New(zapcore.InfoLevel)
+				x := newFixture(c.target)
+				defer x.pool.Close()
+				x.dispatcher.Log = zap.New(core)
+				x.dispatcher.Forwarder.Budget.SetRule(retrybudget.Rule{Slack: 20, Window: time.Second}, retrybudget.EqualShares(1))
+				x.publish(1, c.keys...)
+				time.AfterFunc(2*time.Millisecond, func() { x.publish(2, c.later...) })
+				r := dispatch.CallerRequest{Request: targetcall.Request{Host: "h", Path: c.path, Header: http.Header{"X-Own": {"1"}}}, IdentityHeader: http.Header{"X-Id": {"caller"}}, Credential: c.credential}
+				var answer dispatch.Answer
+				for range 3 {
+					r.ReceivedAt = time.Now()
+					answer = x.dispatcher.Handle(context.Background(), r)
+					if len(x.sender.Calls()) > 0 {
+						break
+					}
+				}
+				require.IsType(t, c.want, answer)
+				require.Len(t, x.sender.Calls(), c.sends)
+				for _, call := range x.sender.Calls() {
+					require.Equal(t, c.account, call.Request.Account)
+					require.Equal(t, c.identity+"1", call.Request.Header.Get("X-Id")+call.Request.Header.Get("X-Own"))
+				}
+				lines := logs.FilterMessage(events.CallerRefused.Name).All()
+				if _, refused := c.want.(dispatch.Unauthorized); refused {
+					require.Equal(t, c.want, answer)
+					require.Len(t, lines, 1, "at most one a second")
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 func TestAnswerIsReadyBeforeTheDeadlineOfTheCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := newFixture(scriptedtarget.Behaviour{Delay: time.Hour})
--- a/internal/storesync/restore_test.go
+++ b/internal/storesync/restore_test.go
@@ -152,6 +152,44 @@
 	}
 }
 
+// Guards against a revoked key that some daemon goes on accepting, or accepts again, because of a store or a peer that is behind.
+func TestRevokedKeyStaysRevoked(t *testing.T) {
+	revoked := func(s platformstate.State) bool {
+		_, accepted := s.OperatorState.Table.Accounts().FindByKey(keyOf(1))
+		return !accepted
+	}
+	for name, c := range map[string]struct {
+		// before and after are called before and after the key is revoked. Daemons in behind learn of it only then.
+		before, after func(f *fleet, b backup)
+		behind        []int
+	}{
+		"daemon partitioned from the store": {func(f *fleet, _ backup) { f.store.setDown("7", true) }, func(f *fleet, _ backup) { f.store.setDown("7", false) }, nil},
+		"store restored":                    {func(*fleet, backup) {}, func(f *fleet, b backup) { f.store.restore(b) }, nil},
+		"peer that is behind": {
+			func(f *fleet, _ backup) { f.store.setDown("0", true); f.setPartitioned(0, true) },
+			func(f *fleet, _ backup) { f.setPartitioned(0, false); f.restart(6) },
+			[]int{0},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(newStore())
+				defer f.close()
+				b := f.store.backup()
+				c.before(f, b)
+				f.store.setVersion(2)
+				f.within(t, drainBound, allDaemons(c.behind...), revoked)
+				c.after(f, b)
+				f.within(t, 2*drainBound, c.behind, revoked)
+				for range 100 {
+					time.Sleep(100 * time.Millisecond)
+					f.within(t, 0, allDaemons(), revoked)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a daemon that takes back what the operator has confirmed, because a restored store does not hold it yet.
 func TestRestoredStoreTakesNothingBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
