--- a/internal/account/doc.go
+++ b/internal/account/doc.go
@@ -1,2 +1,2 @@
-// Package account defines client accounts and finds them by the keys that callers present.
+// Package account defines client accounts and the credentials of callers, and finds the accounts by them.
 package account
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -84,7 +84,7 @@
 	if !ok {
 		return d.finish(entry, NotRun{Reason: ReasonStopping, RetryAfter: RetryAfterStopping})
 	}
-	if entry.revoked != nil && entry.revoked() {
+	if entry.isRevoked() {
 		return d.finish(entry, d.refuse(entry, d.State(), ReasonRevokedKey))
 	}
 	switch x := route.Destination.(type) {
@@ -177,7 +177,7 @@
 }
 
 func (d *Dispatcher) finish(entry requestLog, a Answer) Answer {
-	if _, notRun := a.(NotRun); notRun && entry.revoked != nil && entry.revoked() {
+	if _, notRun := a.(NotRun); notRun && entry.isRevoked() {
 		a = d.refuse(entry, d.State(), ReasonRevokedKey)
 	}
 	elapsed := time.Since(entry.request.ReceivedAt)
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -1,2 +1,3 @@
-// Package dispatch answers the requests of callers: it finds the route, forwards the request and logs the result.
+// Package dispatch answers the requests of callers: it finds the route, authenticates the caller, forwards the request and logs
+// the result.
 package dispatch
--- a/internal/dispatch/requestlog.go
+++ b/internal/dispatch/requestlog.go
@@ -32,6 +32,9 @@
 	typicalLatency time.Duration
 }
 
+// isRevoked reports whether the caller's key was revoked since the request was authenticated.
+func (l requestLog) isRevoked() bool { return l.revoked != nil && l.revoked() }
+
 // fields returns the request ID, the versions of the state that was used, its copy age and the outcome.
 func (l requestLog) fields(label, reason string, elapsed time.Duration) []zap.Field {
 	out := []zap.Field{
@@ -47,6 +50,9 @@
 	if reason != "" {
 		out = append(out, zap.String("reason", reason))
 	}
+	if l.account.Name != "" {
+		out = append(out, zap.String("account", l.account.Name))
+	}
 	if l.single != nil {
 		out = append(out, zap.Any("sends", l.single.Sends))
 	}
