--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -160,7 +160,9 @@
 		DrainBound: func() time.Duration { return d.Settings().Rules.DrainBound.Std() },
 		FirstStart: d.Settings().FirstStart,
 		OnChange:   d.stateChanged,
-		Log:        d.options.Log,
+		// A new target may take calls that wait.
+		AfterChange: func() { d.forwarder.TargetsChanged() },
+		Log:         d.options.Log,
 	})
 	return &syncComponents{syncer: s, roster: r, gossiper: g, conn: g.Conn}, nil
 }
@@ -191,6 +193,7 @@
 		OnCancelled:    d.observeCancelled,
 		OnNotice:       func(t inventory.Target, o targetnotice.Observation) { d.logNotice(t, answerSource, o) },
 		OnUnresponsive: d.sendStallHint,
+		QueueCalls:     d.Settings().Overload.QueueCalls,
 	}, nil
 }
 
--- a/internal/entry/housekeeper.go
+++ b/internal/entry/housekeeper.go
@@ -178,6 +178,7 @@
 		d.options.Scope.Gauge("learnedCapacity").Update(learned.Limit)
 		d.options.Scope.Gauge("callsAtTargets").Update(learned.InFlight)
 		d.options.Scope.Gauge("fullTargets").Update(float64(learned.Full))
+		d.recordQueue(d.forwarder.TakeQueueUsage())
 	}
 	leaving, holding := h.gate.LeftOut(inv.All(), now)
 	for reason, n := range map[string]int{"leaving": leaving, "holdsOff": holding} {
--- a/internal/events/event.go
+++ b/internal/events/event.go
@@ -85,6 +85,7 @@
 	LossesDropped     = Event{839, "lossesDropped", Warn}
 	ClockSuspended    = Event{840, "clockSuspended", Warn}
 	RequestOnTrial    = Event{841, "requestOnTrial", Warn}
+	CallsQueued       = Event{846, "callsQueued", Info}
 	SettingsReloaded  = Event{850, "settingsReloaded", Info}
 	SettingsRefused   = Event{851, "settingsRefused", Error}
 	LogLinesDropped   = Event{860, "logLinesDropped", Warn}
@@ -102,7 +103,7 @@
 		RequestSuspect, RequestRefused, BookingUnknown, ListenerFailed,
 		RequestEnded, PartsEnded, HolderSilent, PartsRefused, StoreLost, StoreRegained, StoreRead, CopyTaken, CopyFailed, EntryForeign, OrdersTaken, StoreRestored, ConfigurationRead,
 		TargetPublished, TargetWithdrawn, TargetDown, RequestCrashes, AnswerOverlong, TargetLimited, TargetUnlimited, LimitUnreadable, LimitedSends,
-		DatagramFailed, DatagramOdd, MembersChanged, TargetLeaving, TargetHoldsOff, TargetUsedAgain, HoldUnreadable, CallBroken, SuspicionCleared, LossesDropped, ClockSuspended, RequestOnTrial, SettingsReloaded, SettingsRefused,
+		DatagramFailed, DatagramOdd, MembersChanged, TargetLeaving, TargetHoldsOff, TargetUsedAgain, HoldUnreadable, CallBroken, SuspicionCleared, LossesDropped, ClockSuspended, RequestOnTrial, CallsQueued, SettingsReloaded, SettingsRefused,
 		LogLinesDropped, InterfaceFailed, WorkPanicked,
 	}
 }
--- a/internal/forward/batch.go
+++ b/internal/forward/batch.go
@@ -11,7 +11,9 @@
 	runs      []run
 	results   chan sendResult
 	decisions chan permitDecision
-	timer     *time.Timer
+	// released gets the calls that do not wait in the queue any more; it is nil until one has waited.
+	released chan *waitingCall
+	timer    *time.Timer
 	// broken is set once a call of the search has broken, answered once a target has answered it, and probed once a hedge was
 	// allowed before that.
 	broken, answered, probed bool
@@ -68,6 +70,10 @@
 		case d := <-b.decisions:
 			r := &b.runs[d.index]
 			b.finish(r, r.handleDecision(d, time.Now()))
+		case c := <-b.released:
+			r, now := &b.runs[c.index], time.Now()
+			b.finish(r, r.handleRelease(c, now))
+			b.endHolds(now)
 		case now := <-b.timer.C:
 			if !wake.IsZero() && !now.Before(wake) {
 				return nil
@@ -117,6 +123,7 @@
 	if o == nil || r.outcome != nil {
 		return
 	}
+	r.leaveQueue(false)
 	r.outcome = o
 	b.finished = append(b.finished, r.index)
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -41,9 +41,14 @@
 	OnCancelled func(r targetcall.Request, t inventory.Target)
 	// OnNotice is called with what an answer changes about whether its target may be sent to. It is optional.
 	OnNotice func(t inventory.Target, o targetnotice.Observation)
+	// QueueCalls makes calls wait in order of priority while all targets of their service that may receive work are at
+	// their learned limits. It has no effect if the selector learns no capacity.
+	QueueCalls bool
 	// OnUnresponsive is called with a target that may be unresponsive because its answer takes much longer than the
 	// hedge delay. It is optional.
 	OnUnresponsive func(t inventory.Target)
+
+	waiting waitingCalls
 }
 
 // Run runs one job. It returns at the latest when the time of the job is up or when ctx is done: because the caller is
@@ -72,14 +77,25 @@
 }
 
 // ExpectedLatency returns the expected latency of a new call on a route at the best target of a service that may receive
-// work; false if none may.
+// work, with the wait in the call queue; false if none may.
 func (f *Forwarder) ExpectedLatency(r routetable.Route, service string) (time.Duration, bool) {
 	now := time.Now()
+	usable := f.usable(service, now)
+	expected, ok := f.Selector.ExpectedLatency(Job{Route: r}.class(), usable, now)
+	if ahead := f.waiting.length(service); ok && ahead > 0 {
+		typical := f.Selector.TypicalLatency(Job{Route: r}.class())
+		expected += typical * time.Duration(ahead) / time.Duration(max(f.Selector.Room(usable, now).Slots, 1))
+	}
+	return expected, ok
+}
+
+// usable returns the targets of a service that may receive work now, including ejected ones.
+func (f *Forwarder) usable(service string, now time.Time) []inventory.Target {
 	eligible := f.Gate.Eligible(f.Inventory().ByService(service), now)
 	if lo.SomeBy(eligible, f.Permits.Required) {
-		eligible = lo.Filter(eligible, func(t inventory.Target, _ int) bool { return f.Permits.Denied(t, now) == 0 })
+		return lo.Filter(eligible, func(t inventory.Target, _ int) bool { return f.Permits.Denied(t, now) == 0 })
 	}
-	return f.Selector.ExpectedLatency(Job{Route: r}.class(), eligible, now)
+	return eligible
 }
 
 // Zones returns, for each job, the availability zones of its service's targets that may receive work now.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -59,7 +59,12 @@
 	held bool
 	// hedgeHeld is set while a hedge waits for that.
 	hedgeHeld bool
-	trace     Trace
+	// waiting is the call in the queue; nil if the job does not wait there. waits is how often it did.
+	waiting *waitingCall
+	waits   int
+	// wasReleased is set while a call that has waited is sent. queueRefused is set once the queue has dropped the call.
+	wasReleased, queueRefused bool
+	trace                     Trace
 }
 
 // flight is one send in flight.
@@ -94,6 +99,9 @@
 			at = t
 		}
 	}
+	if r.waiting != nil && r.waiting.Expires().Before(at) {
+		return r.waiting.Expires()
+	}
 	return at
 }
 
@@ -102,6 +110,11 @@
 	if !now.Before(r.job.Deadline) {
 		return r.timedOut()
 	}
+	if r.waiting != nil && !now.Before(r.waiting.Expires()) {
+		r.leaveQueue(true)
+		r.queueRefused = true
+		return r.failure()
+	}
 	if !r.retryAt.IsZero() && !now.Before(r.retryAt) && r.batch.mayCrashTargets() {
 		r.retryAt, r.held, r.arrived = time.Time{}, true, true
 	}
@@ -148,6 +161,9 @@
 		if !ok {
 			return false
 		}
+		if r.mustWait(selection) {
+			return r.wait(now)
+		}
 		if r.batch.forwarder.Permits.Required(selection.Target) {
 			return r.requestPermit(selection.Target, false, now)
 		}
@@ -195,7 +211,10 @@
 	}
 	results := r.batch.results
 	// The sender may wait a little for the answer to a cancelled call. Only its notices count.
-	stop := context.AfterFunc(ctx, func() { fl.pending.End(targetcall.Unknown{Err: ctx.Err()}, true, time.Now()) })
+	stop := context.AfterFunc(ctx, func() {
+		fl.pending.End(targetcall.Unknown{Err: ctx.Err()}, true, time.Now())
+		f.targetsChanged(t.Service)
+	})
 	f.Workers.Go(func() {
 		result := f.Sender.Send(ctx, call)
 		cancelled := !stop()
@@ -205,6 +224,7 @@
 		}
 		if !cancelled {
 			fl.pending.End(result, false, time.Now())
+			f.targetsChanged(t.Service)
 		}
 		f.report(call.Request, t, result, now, cancelled)
 		cancel()
@@ -280,6 +300,9 @@
 
 // backOff schedules another round over targets that were all full. It returns false when there is not enough time.
 func (r *run) backOff(now time.Time) bool {
+	if f := r.batch.forwarder; f.QueueCalls && f.Selector.LearnCapacity && f.room(r.job.Service, now).Open {
+		return r.wait(now)
+	}
 	wait := max(r.batch.forwarder.Selector.TypicalLatency(r.job.class())/2, minBackoff)
 	if r.job.Deadline.Sub(now) < 2*wait {
 		return false
@@ -321,6 +344,10 @@
 	if !ok || selection.Expected > now.Sub(latest.startedAt)*2 || f.Selector.Ejected(selection.Target, now) {
 		return
 	}
+	// A hedge would take the slot of another call.
+	if selection.Full || f.waiting.busy(r.job.Service) {
+		return
+	}
 	if f.Permits.Required(selection.Target) {
 		r.requestPermit(selection.Target, true, now)
 		return
@@ -367,7 +394,7 @@
 		out = NotRun{Reason: ReasonTargetsLimited, RetryAfter: r.permits.retryAfter}
 	case r.allHoldOff(now):
 		return NotRun{Reason: ReasonTargetsHoldOff, RetryAfter: max(wait, minBackoff)}
-	case r.sends == 0:
+	case r.sends == 0 && !r.queueRefused:
 		out = NotRun{Reason: ReasonNoTarget, RetryAfter: retryAfterNoTarget}
 	}
 	if holding {
@@ -396,6 +423,7 @@
 
 // cancelAll cancels the sends in flight. Sends that must not be repeated run to their end.
 func (r *run) cancelAll() {
+	r.leaveQueue(false)
 	if !r.job.Route.Idempotent {
 		return
 	}
@@ -408,6 +436,7 @@
 // release lets the overtaken sends continue for lingerTimeout and then cancels them. Sends that must not be repeated
 // run to their end.
 func (r *run) release() {
+	r.leaveQueue(false)
 	r.reportUnresponsive(time.Now())
 	if !r.job.Route.Idempotent {
 		return
--- a/internal/storesync/apply.go
+++ b/internal/storesync/apply.go
@@ -83,6 +83,9 @@
 	}
 	s.options.Copy.Set(&after)
 	s.wakeReadLoop()
+	if s.options.AfterChange != nil {
+		s.options.AfterChange()
+	}
 }
 
 // cancelHangingRead cancels the read in progress if the copy is meanwhile complete as of a time much later than its start,
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -91,7 +91,9 @@
 	FirstStart bool
 	// OnChange is called just before a changed copy comes into force, with the state before and after.
 	OnChange func(before, after platformstate.State)
-	Log      *zap.Logger
+	// AfterChange is called once a changed copy is in force. It is optional.
+	AfterChange func()
+	Log         *zap.Logger
 }
 
 // Syncer keeps one daemon's copy of the platform state up to date.
--- a/internal/targetcapacity/capacity.go
+++ b/internal/targetcapacity/capacity.go
@@ -23,7 +23,7 @@
 	// trustedFor is how long a slowness counts in full without a new answer; then it decays with forgetTime, so that
 	// another call finds out about a recovery within a few seconds. Slow phases last 6 to 8 s, so that two or three
 	// calls of a phase meet a slow target for this reason.
-	trustedFor = time.Second
+	trustedFor = 500 * time.Millisecond
 	forgetTime = time.Second
 	// paceTrust is the time constant with which a reported pace is forgotten; neighbours slow a machine for 600 ms.
 	paceTrust = 300 * time.Millisecond
@@ -36,6 +36,10 @@
 	othersTTL = 250 * time.Millisecond
 	// minBackoff and maxBackoff bound the time for which a target is at its limit after a refusal.
 	minBackoff, maxBackoff = 5 * time.Millisecond, 250 * time.Millisecond
+	// A target that refuses one call after the other is avoided for minAvoidance, twice as long each time and for
+	// maxAvoidance at most, while other targets have room: other daemons keep it full, and a call now and then finds out
+	// when they stop.
+	minAvoidance, maxAvoidance = 125 * time.Millisecond, 2 * time.Second
 	// ceilingGrowth is the growth per second of the ceiling that a refusal leaves, in multiples of the slots: a queue of 12
 	// that is refused at half of its length is used again within three seconds.
 	ceilingGrowth = 2
@@ -73,6 +77,9 @@
 	ceiling      float64
 	ceilingAt    time.Time
 	refusedUntil time.Time
+	// avoidance is how long the target is avoided after its last refusal, and avoidedUntil when that ends. An answer ends it.
+	avoidance    time.Duration
+	avoidedUntil time.Time
 }
 
 // Started is what was known of a call when it started.
@@ -127,7 +134,10 @@
 func (c *Capacity) End() { c.own-- }
 
 // Answered records the time that a call took. Calls that one pause delayed end together and count as one sample.
-func (c *Capacity) Answered(s Started, now time.Time) { c.add(s, c.ratio(s, now), now) }
+func (c *Capacity) Answered(s Started, now time.Time) {
+	c.avoidance, c.avoidedUntil = 0, time.Time{}
+	c.add(s, c.ratio(s, now), now)
+}
 
 // Cancelled records the time after which this daemon cancelled a call. If that is longer than a pause, it counts like
 // an answer that took that long: all calls to a slow target may be hedged and cancelled.
@@ -190,6 +200,8 @@
 	c.ceiling, c.ceilingAt = max(min(limit, full)-1, float64(c.Slots())), now
 	backoff := time.Duration(c.slotTime(now))
 	c.refusedUntil = now.Add(min(max(backoff, minBackoff), maxBackoff))
+	c.avoidedUntil = now.Add(c.avoidance)
+	c.avoidance = min(max(2*c.avoidance, minAvoidance), maxAvoidance)
 }
 
 // Slowness returns the ratio of the target's service times to the typical ones.
@@ -280,9 +292,9 @@
 	return limit
 }
 
-// Full reports whether the target is at its limit; late is as for Limit.
+// Full reports whether the target is at its limit, or is avoided while others have room; late is as for Limit.
 func (c *Capacity) Full(late time.Duration, now time.Time) bool {
-	if now.Before(c.refusedUntil) {
+	if now.Before(c.refusedUntil) || now.Before(c.avoidedUntil) {
 		return true
 	}
 	// Most calls of a calm day end here.
@@ -292,7 +304,7 @@
 	return c.InFlight(now)+1 > c.Limit(late, now)
 }
 
-// Room returns the number of calls that the target can take before it is at its limit. If it can take none, it returns
+// Room returns the number of calls that the target can take before it is at its limit, although it may be avoided. If it can take none, it returns
 // the time after which it can if nothing else happens; the time is zero if a call of this daemon has to end first.
 func (c *Capacity) Room(late time.Duration, now time.Time) (int, time.Time) {
 	limit := c.Limit(late, now)
--- a/internal/targetselect/selector.go
+++ b/internal/targetselect/selector.go
@@ -148,6 +148,54 @@
 	return available
 }
 
+// Room is how many more calls some targets can take.
+type Room struct {
+	// Open is set if any of the targets is not ejected.
+	Open bool
+	// Calls is the number of calls until all targets that are not ejected are at their learned limits.
+	Calls int
+	// At is when Calls rises from 0 if no call ends; zero if a call of this daemon has to end first.
+	At time.Time
+	// Slots is the number of slots of the targets that are not ejected.
+	Slots int
+}
+
+// Room returns how many more calls the targets can take.
+func (s *Selector) Room(targets []inventory.Target, now time.Time) Room {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var room Room
+	for _, t := range targets {
+		r := s.record(t)
+		var at time.Time
+		if s.available(t, now) {
+			var calls int
+			calls, at = r.capacity.Room(r.oldestLate(now), now)
+			room.Open = true
+			room.Calls += calls
+			room.Slots += r.capacity.Slots()
+		} else if !r.gone {
+			at = r.ejectedUntil
+		}
+		if !at.IsZero() && (room.At.IsZero() || at.Before(room.At)) {
+			room.At = at
+		}
+	}
+	return room
+}
+
+// ServiceTime returns the time that a call takes at the fastest of the targets, without waiting; it is at most the typical
+// latency, which includes waiting.
+func (s *Selector) ServiceTime(c Class, targets []inventory.Target, now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	least := 1.0
+	for _, t := range targets {
+		least = min(least, s.record(t).capacity.Slowness(now))
+	}
+	return time.Duration(least * float64(s.medianFor(c).median))
+}
+
 // full reports whether a target has reached its learned limit. A target of which nothing is known has not.
 func (s *Selector) full(t inventory.Target, now time.Time) bool {
 	if !s.LearnCapacity {
