--- a/internal/callqueue/queue.go
+++ b/internal/callqueue/queue.go
@@ -1,6 +1,7 @@
 package callqueue
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -30,24 +31,19 @@
 	// are answered.
 	Service, Expected time.Duration
 
-	order uint64
+	order  uint64
+	sendBy time.Time
 }
 
 // Expires returns when the call has too little time left to be served.
 func (c *Call) Expires() time.Time { return c.Deadline.Add(-c.Service) }
 
-// onTime reports whether the call meets its objective if it is sent now. With a shorter time than Expected, calls would
-// be sent just too late one after the other as soon as the queue is as long as the objective.
-func (c *Call) onTime(now time.Time) bool { return !now.Add(c.Expected).After(c.Cutoff) }
-
-// before reports whether c is released before d: the more urgent first; of those, calls that can meet their objective by
-// cutoff, then the others by deadline.
+// before reports whether c is released before d of the same kind: calls that meet their objective if they are sent now by
+// cutoff, then the others by deadline. Those that can only just meet it do not count as such: with a shorter time than
+// Expected, calls would be sent just too late one after the other once the queue is as long as the objective.
 func (c *Call) before(d *Call, now time.Time) bool {
-	if c.Priority != d.Priority {
-		return c.Priority < d.Priority
-	}
-	onTime := c.onTime(now)
-	if onTime != d.onTime(now) {
+	onTime := !now.After(c.sendBy)
+	if onTime == now.After(d.sendBy) {
 		return onTime
 	}
 	a, b := c.Deadline, d.Deadline
@@ -60,10 +56,10 @@
 	return c.order < d.order
 }
 
-// kind is what the queue knows of the calls of one priority.
+// kind holds the calls of one priority.
 type kind struct {
 	priority int
-	waiting  int
+	calls    []*Call
 	// demand is the number of calls pushed a short while ago; older ones count less.
 	demand float64
 	// credit is the number of releases that the kind is owed.
@@ -72,14 +68,15 @@
 
 // Queue holds the waiting calls of one service. Its zero value is empty. It is not safe for concurrent use.
 type Queue struct {
-	calls     []*Call
+	// kinds is ordered by priority.
 	kinds     []*kind
+	length    int
 	pushed    uint64
 	decayedAt time.Time
 }
 
 // Len returns the number of waiting calls.
-func (q *Queue) Len() int { return len(q.calls) }
+func (q *Queue) Len() int { return q.length }
 
 // Push adds a call. It returns the call that is not waiting for that reason, or nil: the new one if it has too little time
 // left, or the last one of the least urgent kind that can spare one if the queue is full.
@@ -91,10 +88,10 @@
 		return c
 	}
 	q.pushed++
-	c.order = q.pushed
-	q.calls = append(q.calls, c)
-	k.waiting++
-	if len(q.calls) <= MaxLength {
+	c.order, c.sendBy = q.pushed, c.Cutoff.Add(-c.Expected)
+	k.calls = append(k.calls, c)
+	q.length++
+	if q.length <= MaxLength {
 		return nil
 	}
 	last := q.lastToSpare(now)
@@ -108,7 +105,7 @@
 	total := q.totalDemand()
 	var owed *kind
 	for _, k := range q.kinds {
-		if k.waiting == 0 {
+		if len(k.calls) == 0 {
 			continue
 		}
 		k.credit = min(k.credit+guaranteedShare*k.demand/total, maxCredit)
@@ -116,66 +113,75 @@
 			owed = k
 		}
 	}
-	best := q.first(now, func(c *Call) bool { return owed != nil && c.Priority == owed.priority })
-	if best == nil {
-		best = q.first(now, func(*Call) bool { return true })
+	if owed != nil {
+		if c := owed.first(now); c != nil {
+			return q.take(owed, c)
+		}
 	}
-	if best != nil {
-		q.Remove(best)
-		k := q.kind(best.Priority)
-		k.credit = max(k.credit-1, 0)
+	for _, k := range q.kinds {
+		if c := k.first(now); c != nil {
+			return q.take(k, c)
+		}
 	}
-	return best
+	return nil
+}
+
+func (q *Queue) take(k *kind, c *Call) *Call {
+	q.Remove(c)
+	k.credit = max(k.credit-1, 0)
+	return c
 }
 
 // Remove removes a call. It returns false if the call is not waiting.
 func (q *Queue) Remove(c *Call) bool {
-	i := slices.Index(q.calls, c)
+	k := q.kind(c.Priority)
+	i := slices.Index(k.calls, c)
 	if i < 0 {
 		return false
 	}
-	last := len(q.calls) - 1
-	q.calls[i] = q.calls[last]
-	q.calls[last] = nil
-	q.calls = q.calls[:last]
-	q.kind(c.Priority).waiting--
+	last := len(k.calls) - 1
+	k.calls[i], k.calls[last] = k.calls[last], nil
+	k.calls = k.calls[:last]
+	q.length--
 	return true
 }
 
-// first returns the first call in order that matches and has enough time left, or nil.
-func (q *Queue) first(now time.Time, matches func(c *Call) bool) *Call {
+// first returns the first call in order that has enough time left, or nil.
+func (k *kind) first(now time.Time) *Call {
 	var best *Call
-	for _, c := range q.calls {
-		if matches(c) && now.Before(c.Expires()) && (best == nil || c.before(best, now)) {
+	for _, c := range k.calls {
+		if (best == nil || c.before(best, now)) && now.Before(c.Expires()) {
 			best = c
 		}
 	}
 	return best
 }
 
-// lastToSpare returns the last call in order of the kinds that have more calls waiting than their guaranteed share of the
-// queue.
+// lastToSpare returns the last call in order of the least urgent kind that has more calls waiting than its guaranteed share
+// of the queue.
 func (q *Queue) lastToSpare(now time.Time) *Call {
 	total := q.totalDemand()
-	var last *Call
-	for _, c := range q.calls {
-		k := q.kind(c.Priority)
-		if float64(k.waiting) > guaranteedShare*k.demand/total*MaxLength && (last == nil || last.before(c, now)) {
-			last = c
+	for _, k := range slices.Backward(q.kinds) {
+		if float64(len(k.calls)) <= guaranteedShare*k.demand/total*MaxLength {
+			continue
+		}
+		last := k.calls[0]
+		for _, c := range k.calls {
+			if last.before(c, now) {
+				last = c
+			}
 		}
+		return last
 	}
-	return last
+	panic("callqueue: no kind has more than its guaranteed share of a full queue")
 }
 
 func (q *Queue) kind(priority int) *kind {
-	for _, k := range q.kinds {
-		if k.priority == priority {
-			return k
-		}
+	i, found := slices.BinarySearchFunc(q.kinds, priority, func(k *kind, p int) int { return cmp.Compare(k.priority, p) })
+	if !found {
+		q.kinds = slices.Insert(q.kinds, i, &kind{priority: priority})
 	}
-	k := &kind{priority: priority}
-	q.kinds = append(q.kinds, k)
-	return k
+	return q.kinds[i]
 }
 
 func (q *Queue) totalDemand() float64 {
@@ -195,5 +201,5 @@
 		}
 		q.decayedAt = now
 	}
-	q.kinds = slices.DeleteFunc(q.kinds, func(k *kind) bool { return k.waiting == 0 && k.demand < negligible })
+	q.kinds = slices.DeleteFunc(q.kinds, func(k *kind) bool { return len(k.calls) == 0 && k.demand < negligible })
 }
--- a/internal/forward/overload_test.go
+++ b/internal/forward/overload_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/samber/lo"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
@@ -157,3 +158,29 @@
 		})
 	}
 }
+
+// Guards against slots that stay taken, and calls that wait for ever, after a job in the queue has been given up, and against
+// hedges that take slots of a full service.
+func TestJobsThatEndLeaveTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newFixture(always(scriptedtarget.Behaviour{Delay: 300 * time.Millisecond}), "a")
+		x.forwarder.Selector.LearnCapacity, x.forwarder.QueueCalls = true, true
+		var running sync.WaitGroup
+		results := make([]string, 40)
+		for i := range results {
+			ctx, cancel := context.WithTimeout(context.Background(), lo.Ternary(i%2 == 0, time.Hour, time.Duration(i)*20*time.Millisecond))
+			running.Go(func() {
+				defer cancel()
+				out, trace := x.forwarder.Run(ctx, job(true))
+				results[i] = out.Label()
+				assert.Zero(t, trace.Hedged)
+			})
+		}
+		running.Wait()
+		x.close()
+		require.Subset(t, results, []string{"done", "lost", "notRun"})
+		usage := x.forwarder.TakeQueueUsage()
+		require.Positive(t, usage.Late)
+		require.Zero(t, usage.Waiting+usage.Services)
+	})
+}
