--- a/internal/targetcapacity/capacity.go
+++ b/internal/targetcapacity/capacity.go
@@ -34,6 +34,9 @@
 	// othersTTL is the longest time for which a report of other daemons' calls holds a target back. A target that has got
 	// no call of this daemon for longer may be free again.
 	othersTTL = 250 * time.Millisecond
+	// othersWeight is the weight of a report in the usual number of other daemons' calls. As many as usual are taken to
+	// arrive while those of the last report end.
+	othersWeight = 0.25
 	// minBackoff and maxBackoff bound the time for which a target is at its limit after a refusal.
 	minBackoff, maxBackoff = 5 * time.Millisecond, 250 * time.Millisecond
 	// A target that refuses one call after the other is avoided for minAvoidance, twice as long each time and for
@@ -72,6 +75,8 @@
 	// others is the number of other daemons' calls at the time othersAt.
 	others   float64
 	othersAt time.Time
+	// usualOthers is the average of the reported numbers.
+	usualOthers float64
 
 	// ceiling is the limit that the last refusal left at the time ceilingAt; it is 0 if there was none.
 	ceiling      float64
@@ -182,6 +187,7 @@
 		total--
 	}
 	c.others, c.othersAt = float64(max(total-c.own, 0)), now
+	c.usualOthers += othersWeight * (c.others - c.usualOthers)
 	if l.Pace > 0 {
 		report := min(max(l.Pace, minRatio), maxRatio)
 		c.pace, c.paceAt = c.currentPace(now)+paceWeight*(report-c.currentPace(now)), now
@@ -263,7 +269,7 @@
 	if age <= 0 {
 		return c.others
 	}
-	return max(c.others-float64(age)/max(c.slotTime(now), 1), 0)
+	return max(c.others-float64(age)/max(c.slotTime(now), 1), min(c.usualOthers, c.others))
 }
 
 // Limit returns the number of calls in flight that the target handles well; late is the age of its oldest call that is
@@ -304,6 +310,12 @@
 	return c.InFlight(now)+1 > c.Limit(late, now)
 }
 
+// Avoided returns until when the target gets no calls while others have room, or will have it, because it has refused
+// several calls one after the other; false if it is not avoided.
+func (c *Capacity) Avoided(now time.Time) (time.Time, bool) {
+	return c.avoidedUntil, now.Before(c.avoidedUntil)
+}
+
 // Room returns the number of calls that the target can take before it is at its limit, although it may be avoided. If it can take none, it returns
 // the time after which it can if nothing else happens; the time is zero if a call of this daemon has to end first.
 func (c *Capacity) Room(late time.Duration, now time.Time) (int, time.Time) {
@@ -320,7 +332,10 @@
 	}
 	at := c.refusedUntil
 	if excess := c.others - free; excess > 0 {
-		drained := c.othersAt.Add(min(time.Duration(excess*c.slotTime(now))+1, othersTTL))
+		drained := c.othersAt.Add(othersTTL)
+		if c.usualOthers <= free {
+			drained = c.othersAt.Add(min(time.Duration(excess*c.slotTime(now))+1, othersTTL))
+		}
 		if drained.After(at) {
 			at = drained
 		}
--- a/internal/targetselect/selector.go
+++ b/internal/targetselect/selector.go
@@ -160,30 +160,48 @@
 	Slots int
 }
 
-// Room returns how many more calls the targets can take.
+// Room returns how many more calls the targets can take. Targets that keep refusing calls count only if all do.
 func (s *Selector) Room(targets []inventory.Target, now time.Time) Room {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var room Room
+	var room, avoided Room
 	for _, t := range targets {
 		r := s.record(t)
-		var at time.Time
-		if s.available(t, now) {
-			var calls int
-			calls, at = r.capacity.Room(r.oldestLate(now), now)
-			room.Open = true
-			room.Calls += calls
-			room.Slots += r.capacity.Slots()
-		} else if !r.gone {
-			at = r.ejectedUntil
+		if !s.available(t, now) {
+			if !r.gone {
+				room.wake(r.ejectedUntil)
+			}
+			continue
 		}
-		if !at.IsZero() && (room.At.IsZero() || at.Before(room.At)) {
-			room.At = at
+		if until, ok := r.capacity.Avoided(now); ok {
+			avoided.add(r, now)
+			room.wake(until)
+			continue
 		}
+		room.add(r, now)
 	}
+	if !room.Open && avoided.Open {
+		avoided.wake(room.At)
+		return avoided
+	}
+	room.Slots += avoided.Slots
 	return room
 }
 
+func (m *Room) add(r *record, now time.Time) {
+	calls, at := r.capacity.Room(r.oldestLate(now), now)
+	m.Open = true
+	m.Calls += calls
+	m.Slots += r.capacity.Slots()
+	m.wake(at)
+}
+
+func (m *Room) wake(at time.Time) {
+	if !at.IsZero() && (m.At.IsZero() || at.Before(m.At)) {
+		m.At = at
+	}
+}
+
 // ServiceTime returns the time that a call takes at the fastest of the targets, without waiting; it is at most the typical
 // latency, which includes waiting.
 func (s *Selector) ServiceTime(c Class, targets []inventory.Target, now time.Time) time.Duration {
