--- a/internal/events/event.go
+++ b/internal/events/event.go
@@ -86,6 +86,7 @@
 	ClockSuspended    = Event{840, "clockSuspended", Warn}
 	RequestOnTrial    = Event{841, "requestOnTrial", Warn}
 	QuotaRefused      = Event{843, "quotaRefused", Info}
+	CallsQueued       = Event{846, "callsQueued", Info}
 	SettingsReloaded  = Event{850, "settingsReloaded", Info}
 	SettingsRefused   = Event{851, "settingsRefused", Error}
 	LogLinesDropped   = Event{860, "logLinesDropped", Warn}
@@ -105,7 +106,7 @@
 		RequestEnded, PartsEnded, HolderSilent, PartsRefused, StoreLost, StoreRegained, StoreRead, CopyTaken, CopyFailed, EntryForeign, OrdersTaken, StoreRestored, ConfigurationRead,
 		TargetPublished, TargetWithdrawn, TargetDown, RequestCrashes, AnswerOverlong, TargetLimited, TargetUnlimited, LimitUnreadable, LimitedSends,
 		DatagramFailed, DatagramOdd, MembersChanged, TargetLeaving, TargetHoldsOff, TargetUsedAgain, HoldUnreadable, CallBroken, SuspicionCleared, LossesDropped, ClockSuspended, RequestOnTrial, QuotaRefused, SettingsReloaded, SettingsRefused,
-		LogLinesDropped, InterfaceFailed, WorkPanicked, CallerRefused,
+		LogLinesDropped, InterfaceFailed, WorkPanicked, CallerRefused, CallsQueued,
 	}
 }
 
--- a/internal/targetselect/selector.go
+++ b/internal/targetselect/selector.go
@@ -133,6 +133,72 @@
 	return available
 }
 
+// Room is how many more calls some targets can take.
+type Room struct {
+	// Open is set if any of the targets is not ejected.
+	Open bool
+	// Calls is the number of calls until all targets that are not ejected are at their learned limits.
+	Calls int
+	// At is when Calls rises from 0 if no call ends; zero if a call of this daemon has to end first.
+	At time.Time
+	// Slots is the number of slots of the targets that are not ejected.
+	Slots int
+}
+
+// Room returns how many more calls the targets can take. Targets that keep refusing calls count only if all do.
+func (s *Selector) Room(targets []inventory.Target, now time.Time) Room {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var room, avoided Room
+	for _, t := range targets {
+		r := s.record(t)
+		if !s.available(t, now) {
+			if !r.gone {
+				room.wake(r.ejectedUntil)
+			}
+			continue
+		}
+		if until, ok := r.capacity.Avoided(now); ok {
+			avoided.add(r, now)
+			room.wake(until)
+			continue
+		}
+		room.add(r, now)
+	}
+	if !room.Open && avoided.Open {
+		avoided.wake(room.At)
+		return avoided
+	}
+	room.Slots += avoided.Slots
+	return room
+}
+
+func (m *Room) add(r *record, now time.Time) {
+	calls, at := r.capacity.Room(r.oldestLate(now), now)
+	m.Open = true
+	m.Calls += calls
+	m.Slots += r.capacity.Slots()
+	m.wake(at)
+}
+
+func (m *Room) wake(at time.Time) {
+	if !at.IsZero() && (m.At.IsZero() || at.Before(m.At)) {
+		m.At = at
+	}
+}
+
+// ServiceTime returns the time that a call takes at the fastest of the targets, without waiting; it is at most the typical
+// latency, which includes waiting.
+func (s *Selector) ServiceTime(c Class, targets []inventory.Target, now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	least := 1.0
+	for _, t := range targets {
+		least = min(least, s.record(t).capacity.Slowness(now))
+	}
+	return time.Duration(least * float64(s.medianFor(c).median))
+}
+
 // full reports whether a target has reached its learned limit. A target of which nothing is known has not.
 func (s *Selector) full(t inventory.Target, now time.Time) bool {
 	if !s.LearnCapacity {
