--- a/internal/aggregator/call.go
+++ b/internal/aggregator/call.go
@@ -28,9 +28,12 @@
 	grantLead = 6 * time.Millisecond
 	// replyInterval is the time between later replies.
 	replyInterval = 0.125
-	// cutoffMargin is how long before the cutoff of the requesting daemon the available parts are sent: one hop
+	// cutoffMargin is how long before the cutoff of the requesting daemon the available parts are sent, and how long before
+	// its deadline the jobs of a call end: one hop
 	// between zones and one scheduling pause of a small VM.
 	cutoffMargin = 4 * time.Millisecond
+	// minDeadlineDivisor bounds how much earlier than the requesting daemon's deadline the jobs of a call end.
+	minDeadlineDivisor = 4
 )
 
 // ReasonLeaving is the reason given for shards that had no result when their aggregator exited.
@@ -53,6 +56,8 @@
 	// parts. pastCutoff is set once a reply has been sent at or after that time.
 	cutoff     time.Time
 	pastCutoff bool
+	// mayHaveRun is set once a target has run or may have run a shard of the call.
+	mayHaveRun bool
 	// nextReply is when the next reply is due.
 	nextReply time.Time
 	// pending holds the shards without a result, by their position in the call.
@@ -118,6 +123,8 @@
 			if errors.Is(context.Cause(c.ctx), errLeaving) {
 				c.markLost(batch, time.Now())
 				c.log()
+			} else if errors.Is(c.ctx.Err(), context.Canceled) {
+				c.reportNotRun(batch)
 			}
 			batch.Abandon()
 			return
@@ -132,6 +139,24 @@
 	c.log()
 }
 
+// reportNotRun reports a cancelled call of which nothing has run, because the requesting daemon may then tell its caller so.
+func (c *call) reportNotRun(batch *forward.Batch) {
+	if c.mayHaveRun || lo.SomeBy(lo.Keys(c.pending), batch.MayHaveRun) {
+		return
+	}
+	batch.Stop()
+	for len(c.pending) > 0 {
+		results := batch.Next(c.ctx, time.Time{})
+		if len(results) == 0 {
+			return
+		}
+		for _, r := range results {
+			c.record(r)
+		}
+	}
+	c.sendReply(time.Now())
+}
+
 // markLost reports the shards without a result as lost, because their targets may still be running them.
 func (c *call) markLost(batch *forward.Batch, now time.Time) {
 	for shard := range c.pending {
@@ -141,7 +166,8 @@
 }
 
 func (c *call) jobs() []forward.Job {
-	deadline := c.deadline()
+	// Shards that were not sent until then are reported before the requesting daemon stops waiting.
+	deadline := c.deadline().Add(-min(cutoffMargin, millis(c.message.GetLeftMillis())/minDeadlineDivisor))
 	route, request := partswire.DecodeRoute(c.message), partswire.DecodeRequest(c.message.GetRequest())
 	return lo.Map(c.message.GetShards(), func(shard string, _ int) forward.Job {
 		return forward.Job{
@@ -171,6 +197,9 @@
 
 func (c *call) record(r forward.JobResult) {
 	delete(c.pending, r.Index)
+	if _, notRun := r.Outcome.(forward.NotRun); !notRun {
+		c.mayHaveRun = true
+	}
 	c.unsent = append(c.unsent, r)
 	if _, done := r.Outcome.(forward.Done); !done || len(r.Trace.Sends) != 1 || r.Trace.Hedged > 0 {
 		c.anomalies[c.message.GetShards()[r.Index]] = r.Trace
--- a/internal/aggregatorclient/batch.go
+++ b/internal/aggregatorclient/batch.go
@@ -53,6 +53,8 @@
 	// targets that run it. From probeAt on, one aggregator gets a grant for a single hedge; probed is set once it has.
 	answered, probed bool
 	probeAt          time.Time
+	// stopped is set once no more calls are sent.
+	stopped bool
 }
 
 // shardGroup is the set of shards of a search that one aggregator is queried for.
@@ -214,6 +216,9 @@
 	if !wake.IsZero() && wake.Before(next) {
 		next = wake
 	}
+	if b.stopped {
+		return next
+	}
 	asked := func(g *shardGroup) bool { return g.asked && len(g.pending) > 0 }
 	if !b.answered && !b.probed && lo.SomeBy(b.groups, asked) && b.probeAt.Before(next) {
 		next = b.probeAt
@@ -250,6 +255,9 @@
 		b.timeOutAll()
 		return
 	}
+	if b.stopped {
+		return
+	}
 	b.grantHedges(nil, false, now)
 	for _, g := range b.groups {
 		switch {
@@ -278,7 +286,7 @@
 		zap.String("next", next), zap.Int("shards", len(pending)), zap.Bool("again", g.fallback), zap.Bool("granted", g.granted))
 	// The unresponsive aggregator may have queried one target for each of these shards.
 	attempts := b.search.Route.Attempts - 1
-	if !ok || g.fallback || g.granted || attempts < 1 {
+	if !ok || g.fallback || g.granted || attempts < 1 || b.stopped {
 		b.markLost(g.aggregator, pending)
 		return
 	}
@@ -402,6 +410,15 @@
 	}
 	b.client.deprioritize(g.aggregator, now)
 	b.client.unregister(g.id)
+	if b.stopped {
+		g.pending = nil
+		if g.fallback {
+			b.markLost(g.aggregator, g.indexes)
+		} else {
+			b.markNotRun(g.indexes)
+		}
+		return
+	}
 	if g.copies > 1 {
 		// An aggregator of an earlier version would run a copy that arrives late.
 		b.client.cancel(g.aggregator, g.id)
@@ -439,6 +456,21 @@
 	}
 }
 
+// MayHaveRun reports whether a target may run or have run a shard without a result. Only its aggregator knows.
+func (b *batch) MayHaveRun(index int) bool {
+	return lo.SomeBy(b.groups, func(g *shardGroup) bool { return g.pending[lo.IndexOf(g.indexes, index)] })
+}
+
+// Stop cancels the calls in progress. Their aggregators report the shards that have not been sent, unless the call has run.
+func (b *batch) Stop() {
+	b.stopped = true
+	for _, g := range b.groups {
+		if len(g.pending) > 0 {
+			b.client.cancel(g.aggregator, g.id)
+		}
+	}
+}
+
 // PendingTrace returns the trace of a shard that has no result yet.
 func (b *batch) PendingTrace(index int, now time.Time) forward.Trace {
 	for _, g := range b.groups {
--- a/internal/forward/batch.go
+++ b/internal/forward/batch.go
@@ -15,7 +15,9 @@
 	// broken is set once a call of the search has broken, answered once a target has answered it, and probed once a hedge was
 	// allowed before that.
 	broken, answered, probed bool
-	startedAt                time.Time
+	// stopped is set once no more sends are allowed.
+	stopped   bool
+	startedAt time.Time
 	// finished holds the indexes of the runs that have ended and have not been returned yet.
 	finished []int
 }
@@ -136,6 +138,22 @@
 	b.finished = append(b.finished, r.index)
 }
 
+// MayHaveRun reports whether a target may run or have run a job.
+func (b *Batch) MayHaveRun(index int) bool {
+	r := &b.runs[index]
+	return r.attemptsUsed+len(r.inFlight) > 0
+}
+
+// Stop ends the jobs that have no send in flight. The others end with the result of that send.
+func (b *Batch) Stop() {
+	b.stopped = true
+	for i := range b.runs {
+		if r := &b.runs[i]; !r.ended() && len(r.inFlight) == 0 {
+			b.finish(r, r.failure())
+		}
+	}
+}
+
 // PendingTrace returns the trace of an unfinished job, including its sends in flight.
 func (b *Batch) PendingTrace(index int, now time.Time) Trace {
 	r := &b.runs[index]
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -82,7 +82,7 @@
 // outcome of the job, or nil while the job continues.
 func (r *run) handleDecision(d permitDecision, now time.Time) Outcome {
 	r.permits.waiting = false
-	if r.outcome != nil {
+	if r.outcome != nil || r.batch.stopped {
 		return nil
 	}
 	t := r.permits.target
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// maxSends bounds the sends of one job, including refused ones.
+	// maxSends bounds the sends of one job, including refused ones. A repeatable job of which nothing ran may make more,
+	// each after a pause.
 	maxSends = 6
 	// maxPicks bounds how often another target is picked because the picked one became ineligible meanwhile.
 	maxPicks = 8
@@ -27,6 +28,10 @@
 	resendPollInterval = 2 * time.Millisecond
 	// minBackoff is the shortest wait before targets that are all full are tried again.
 	minBackoff = 4 * time.Millisecond
+	// maxBackoff bounds the pause, which doubles with each round: a full target frees a slot within tens of milliseconds.
+	maxBackoff = 100 * time.Millisecond
+	// maxDoublings bounds the doublings of the pause, so that it does not overflow.
+	maxDoublings = 8
 	// retryAfterFull and retryAfterNoTarget are the retry delays for callers whose request did not run. A queue
 	// empties within tens of milliseconds; a target that is gone is published again or replaced within a second.
 	retryAfterFull     = 100 * time.Millisecond
@@ -43,7 +48,10 @@
 	// attemptsUsed counts the sends that have run or may have run.
 	attemptsUsed int
 	sends        int
-	permits      permitState
+	// rounds counts the pauses so far. full is set if the latest send was refused by a running target.
+	rounds  int
+	full    bool
+	permits permitState
 	// lastFailure is the outcome to return when nothing is left to try.
 	lastFailure Outcome
 	// refusedFor is how long the request is refused because it crashes its targets; 0 if it is not.
@@ -133,7 +141,7 @@
 // launch sends to the best target; allowTried permits targets that have been tried. It returns false when no send is
 // possible.
 func (r *run) launch(allowTried bool, now time.Time) bool {
-	if r.sends >= maxSends || r.attemptsUsed+len(r.inFlight) >= max(r.job.Route.Attempts, 1) {
+	if r.sends >= maxSends && !r.mayKeepTrying() || r.attemptsUsed+len(r.inFlight) >= max(r.job.Route.Attempts, 1) {
 		return false
 	}
 	if r.refused() {
@@ -222,6 +230,8 @@
 	if r.outcome != nil {
 		return nil
 	}
+	refusal, refused := s.result.(targetcall.Refused)
+	r.full = refused && !refusal.OtherIncarnation
 	switch x := s.result.(type) {
 	case targetcall.Answered:
 		if x.Final() {
@@ -252,6 +262,9 @@
 		return nil
 	}
 	r.hedgeAt = time.Time{}
+	if r.batch.stopped {
+		return r.failure()
+	}
 	if !repeatable || r.attemptsUsed >= max(r.job.Route.Attempts, 1) {
 		return r.failure()
 	}
@@ -272,10 +285,10 @@
 // tryNext sends to a target that has not been tried, or schedules another round over all targets if those that were
 // sent to refused the request.
 func (r *run) tryNext(now time.Time) Outcome {
-	if r.launch(false, now) {
+	if r.sends < maxSends && r.launch(false, now) {
 		return nil
 	}
-	if r.lastFailure == nil && r.sends > 0 && r.sends < maxSends && !r.allHoldOff(now) && r.backOff(now) {
+	if r.lastFailure == nil && r.sends > 0 && (r.sends < maxSends || r.mayKeepTrying()) && !r.allHoldOff(now) && r.backOff(now) {
 		return nil
 	}
 	return r.failure()
@@ -283,21 +296,30 @@
 
 // backOff schedules another round over targets that were all full. It returns false when there is not enough time.
 func (r *run) backOff(now time.Time) bool {
-	wait := max(r.batch.forwarder.Selector.TypicalLatency(r.job.class())/2, minBackoff)
-	if r.job.Deadline.Sub(now) < 2*wait {
+	first := max(r.batch.forwarder.Selector.TypicalLatency(r.job.class())/2, minBackoff)
+	left := r.job.Deadline.Sub(now)
+	if left < 2*first {
 		return false
 	}
+	wait := min(first<<min(r.rounds, maxDoublings), max(first, maxBackoff), left/2)
+	r.rounds++
 	r.retryAt = now.Add(wait)
 	return true
 }
 
+// mayKeepTrying reports whether the job may be sent more than maxSends times: it is repeatable, nothing of it has run, and
+// the latest target was full. Targets that are unreachable stay so for longer than a search waits.
+func (r *run) mayKeepTrying() bool {
+	return r.full && r.job.Route.Idempotent && r.attemptsUsed == 0 && len(r.inFlight) == 0 && r.lastFailure == nil
+}
+
 // hedge makes an additional send when the latest one has exceeded its hedge delay. The route must be repeatable, no
 // other hedge may be in flight, another target must be expected to answer within twice the time elapsed so far, and the
 // attempts, the gate and the retry budget must allow the send. Targets that may be unresponsive are reported in any
 // case.
 func (r *run) hedge(now time.Time) {
 	r.hedgeAt = time.Time{}
-	if len(r.inFlight) == 0 {
+	if len(r.inFlight) == 0 || r.batch.stopped {
 		return
 	}
 	f := r.batch.forwarder
--- a/internal/scatter/gatherer.go
+++ b/internal/scatter/gatherer.go
@@ -50,6 +50,10 @@
 	Next(ctx context.Context, wake time.Time) []forward.JobResult
 	// Begin starts deferred jobs.
 	Begin(indexes []int)
+	// MayHaveRun reports whether a target may run or have run a job without a result.
+	MayHaveRun(index int) bool
+	// Stop prevents further sends, so that the jobs end with the results of the sends in flight.
+	Stop()
 	// PendingTrace returns the trace of a job without a result.
 	PendingTrace(index int, now time.Time) forward.Trace
 	// Abandon cancels the sends in flight.
--- a/internal/scatter/trial.go
+++ b/internal/scatter/trial.go
@@ -68,6 +68,15 @@
 // Begin does nothing: a search that may crash its targets leaves out no shard.
 func (t *trial) Begin([]int) {}
 
+// MayHaveRun reports whether a target may run or have run a job without a result.
+func (t *trial) MayHaveRun(index int) bool {
+	i := lo.IndexOf(t.indexes, index)
+	return i >= 0 && t.batch.MayHaveRun(i)
+}
+
+// Stop prevents further sends.
+func (t *trial) Stop() { t.batch.Stop() }
+
 // Abandon cancels the sends in flight.
 func (t *trial) Abandon() { t.batch.Abandon() }
 
