--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/platformstate"
 	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
 	"github.com/knapweedpoint/knapweedpoint/internal/scatter"
+	"github.com/knapweedpoint/knapweedpoint/internal/shardplan"
 	"github.com/knapweedpoint/knapweedpoint/internal/split"
 )
 
@@ -54,6 +55,11 @@
 	Grace grace.Period
 	// InFlight holds the requests that are being answered.
 	InFlight inflight.Register
+	// RefusesLate reports whether look-ups that are expected to end after their deadline are refused at once. It is optional;
+	// without it none is.
+	RefusesLate func() bool
+	// Planner chooses those that run nevertheless.
+	Planner shardplan.Planner
 	// Log and Scope are optional.
 	Log   *zap.Logger
 	Scope tally.Scope
@@ -140,10 +146,15 @@
 	if service == "" {
 		return d.finish(entry, NotRun{Reason: ReasonNoService, RetryAfter: retryAfterUnconfigured})
 	}
+	verdict, wait := d.judge(entry.route, service, deadline)
+	if verdict == shardplan.Refuse {
+		return d.finish(entry, NotRun{Reason: scatter.ReasonDeadline, RetryAfter: wait})
+	}
 	out, trace := d.Forwarder.Run(ctx, forward.Job{Service: service, Route: entry.route, Request: entry.request.Request, Deadline: deadline})
 	entry.single = &trace
 	switch x := out.(type) {
 	case forward.Done:
+		d.count(verdict == shardplan.Probe, "needlessRefusals")
 		return d.finish(entry, Forwarded{Answer: x.Answer})
 	case forward.Failed:
 		return d.finish(entry, forwardFailure(x))
@@ -156,6 +167,27 @@
 	}
 }
 
+// judge returns the verdict on a look-up, and how long its callers should wait if it is refused.
+func (d *Dispatcher) judge(route routetable.Route, service string, deadline time.Time) (shardplan.Verdict, time.Duration) {
+	if d.RefusesLate == nil || !d.RefusesLate() {
+		return shardplan.Run, 0
+	}
+	expected, known := d.Forwarder.ExpectedLatency(route, service)
+	left := time.Until(deadline)
+	if !known || expected <= left {
+		return shardplan.Run, 0
+	}
+	verdict := d.Planner.Judge([]time.Duration{expected}, left, 1)
+	d.count(verdict == shardplan.Refuse, "refusedAtOnce")
+	return verdict, expected - left
+}
+
+func (d *Dispatcher) count(happened bool, counter string) {
+	if happened && d.Scope != nil {
+		d.Scope.Counter(counter).Inc(1)
+	}
+}
+
 // forwardFailure passes the failure of a target through, unless its status would tell the caller that the request did
 // not run.
 func forwardFailure(f forward.Failed) Answer {
--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -222,13 +222,14 @@
 	f := do.MustInvoke[*forward.Forwarder](i)
 	margin := answermargin.Estimate(d.Settings().Rules.CallerMargin.Std(), d.Settings().Processor)
 	return &dispatch.Dispatcher{
-		State:     d.State,
-		Forwarder: f,
-		Gatherer:  &scatter.Gatherer{Runner: do.MustInvoke[*aggregatorclient.Client](i), Margin: margin, Refuses: d.refuses, UnansweredLosses: d.unansweredLosses, OmitsLateShards: d.omitsLateShards, Scope: d.options.Scope},
-		Splits:    do.MustInvoke[*split.Picker](i),
-		Margin:    margin,
-		Log:       d.options.Log,
-		Scope:     d.options.Scope,
+		State:       d.State,
+		Forwarder:   f,
+		Gatherer:    &scatter.Gatherer{Runner: do.MustInvoke[*aggregatorclient.Client](i), Margin: margin, Refuses: d.refuses, UnansweredLosses: d.unansweredLosses, OmitsLateShards: d.omitsLateShards, Scope: d.options.Scope},
+		Splits:      do.MustInvoke[*split.Picker](i),
+		Margin:      margin,
+		RefusesLate: d.omitsLateShards,
+		Log:         d.options.Log,
+		Scope:       d.options.Scope,
 	}, nil
 }
 
--- a/internal/scatter/gatherer.go
+++ b/internal/scatter/gatherer.go
@@ -123,7 +123,12 @@
 		return forward.Job{Service: shard, Route: s.Route, Request: s.Request, Deadline: s.Deadline, PartOfSearch: true}
 	})
 	s.Cutoff = s.ReceivedAt.Add(s.Route.Objective - min(g.Margin+g.lag.Estimate(), s.Route.Objective/maxEarlyDivisor))
-	batch, omitted, ok := g.start(s, jobs, omission{unavailable: unavailable, allowed: len(shards) - need - len(waits)})
+	expected, allowed := g.expect(s, unavailable), len(shards)-need-len(waits)
+	verdict, wait := g.judge(s, expected, allowed)
+	if verdict == shardplan.Refuse {
+		return NotRun{Reason: ReasonDeadline, RetryAfter: wait}, Trace{}
+	}
+	batch, omitted, ok := g.start(s, jobs, expected, allowed)
 	if !ok {
 		return NotRun{Reason: forward.ReasonCrashesTargets, RetryAfter: retryAfterSuspicion}, Trace{}
 	}
@@ -136,6 +141,7 @@
 	if c.cutoffAt.After(s.Cutoff) {
 		g.lag.Observe(c.cutoffAt.Sub(s.Cutoff))
 	}
+	g.countProbe(verdict, collected)
 	trace := c.trace(shards, batch)
 	if c.unfinished > 0 {
 		batch.Abandon()
@@ -145,13 +151,13 @@
 
 // start begins a search: with one shard if the request may crash its targets. It returns the positions of the shards that
 // are left out, and false if no shard has a target to spare for a search that may crash targets.
-func (g *Gatherer) start(s Search, jobs []forward.Job, o omission) (Batch, []int, bool) {
+func (g *Gatherer) start(s Search, jobs []forward.Job, expected []time.Duration, allowed int) (Batch, []int, bool) {
 	var lost []string
 	if g.UnansweredLosses != nil {
 		lost = g.UnansweredLosses(s.Request)
 	}
 	if len(lost) == 0 {
-		omitted := g.omit(s, jobs, o)
+		omitted := g.omit(s, expected, allowed)
 		for _, i := range omitted {
 			jobs[i].Deferred = true
 		}
--- a/internal/scatter/omission_test.go
+++ b/internal/scatter/omission_test.go
@@ -220,3 +220,36 @@
 		pool.Close()
 	})
 }
+
+// Guards against searches that wait for their deadline although too few shards can answer before it, and against refusals of
+// those that can be answered without the late shards.
+func TestHopelessSearchIsRefusedAtOnce(t *testing.T) {
+	for late, want := range map[int]string{2: "partial", 3: "notRun"} {
+		synctest.Test(t, func(t *testing.T) {
+			shards := lo.Times(shardCount, func(i int) string { return fmt.Sprintf("s%02d", i) })
+			inv := inventory.New(1, lo.Map(shards, func(s string, _ int) inventory.Target { return inventory.Target{ID: s, Service: s, Slots: 2} }))
+			sender, pool := &scriptedtarget.Sender{}, &workers.Pool{}
+			f := &forward.Forwarder{
+				Sender: sender, Selector: &targetselect.Selector{}, Gate: &sendgate.Gate{}, Budget: &retrybudget.Budget{},
+				Inventory: func() inventory.Inventory { return inv }, Workers: pool,
+			}
+			g := scatter.Gatherer{
+				Runner: lateRunner{Direct: scatter.Direct{Forwarder: f}, late: shards[:late]}, Margin: margin,
+				OmitsLateShards: func() bool { return true }, Planner: shardplan.Planner{Chance: func() float64 { return 0.5 }},
+			}
+			start := time.Now()
+			d := routetable.Scatter{Shards: shards, TopK: 5, MinCoverage: 0.89}
+			out, _ := g.Run(context.Background(), scatter.Search{
+				Route:   routetable.Route{Host: "h", Prefix: "/p/", Idempotent: true, Attempts: 2, Objective: objective, Destination: d},
+				Scatter: d, Request: targetcall.Request{ID: "r"}, ReceivedAt: start, Deadline: start.Add(600 * time.Millisecond),
+			})
+			require.Equal(t, want, out.Label())
+			require.Zero(t, time.Since(start))
+			if x, refused := out.(scatter.NotRun); refused {
+				require.Equal(t, 400*time.Millisecond, x.RetryAfter)
+				require.Empty(t, sender.Calls())
+			}
+			pool.Close()
+		})
+	}
+}
--- a/internal/shardplan/planner.go
+++ b/internal/shardplan/planner.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// fullShare is the share of searches that query all shards, so that a recovery is detected.
+	// fullShare is the share of searches that query all shards, and of hopeless requests that run, so that a recovery is
+	// detected.
 	fullShare = 1.0 / 20
 	// spread is how much two expectations may differ, as a share, and still count as about equal. Expectations at two
 	// aggregators, or before and after one call, differ by about one call in the queue of a target with two slots.
@@ -49,6 +50,35 @@
 	return out
 }
 
+// Verdict says what becomes of a request, given how long its shards are expected to take.
+type Verdict int
+
+const (
+	// Run is the verdict on a request that can be served in time.
+	Run Verdict = iota
+	// Probe is the verdict on the few requests that run although they are not expected to be served in time.
+	Probe
+	// Refuse is the verdict on the others.
+	Refuse
+)
+
+// Judge returns the verdict on a request that needs some of its shards to answer within the given time.
+func (p Planner) Judge(expected []time.Duration, left time.Duration, need int) Verdict {
+	inTime := 0
+	for _, e := range expected {
+		if e <= left {
+			inTime++
+		}
+	}
+	if inTime >= need {
+		return Run
+	}
+	if p.chance() < fullShare {
+		return Probe
+	}
+	return Refuse
+}
+
 func (p Planner) chance() float64 {
 	if p.Chance != nil {
 		return p.Chance()
