--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -13,6 +14,7 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/grace"
 	"github.com/knapweedpoint/knapweedpoint/internal/inflight"
 	"github.com/knapweedpoint/knapweedpoint/internal/platformstate"
+	"github.com/knapweedpoint/knapweedpoint/internal/returntime"
 	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
 	"github.com/knapweedpoint/knapweedpoint/internal/scatter"
 	"github.com/knapweedpoint/knapweedpoint/internal/shardplan"
@@ -60,6 +62,8 @@
 	RefusesLate func() bool
 	// Planner chooses those that run nevertheless.
 	Planner shardplan.Planner
+	// Returns schedules the returns of refused callers if RefusesLate does.
+	Returns returntime.Schedule
 	// Log and Scope are optional.
 	Log   *zap.Logger
 	Scope tally.Scope
@@ -125,6 +129,8 @@
 }
 
 func (d *Dispatcher) search(ctx context.Context, entry requestLog, s routetable.Scatter, deadline time.Time) Answer {
+	// Searches of all kinds over the same shards compete for the same targets, so the first shard stands for all.
+	service := lo.FirstOrEmpty(s.Shards)
 	out, trace := d.Gatherer.Run(ctx, scatter.Search{
 		Route: entry.route, Scatter: s, Request: entry.request.Request, ReceivedAt: entry.request.ReceivedAt, Deadline: deadline,
 	})
@@ -132,9 +138,10 @@
 	entry.typicalLatency = d.Forwarder.TypicalLatency(entry.route)
 	switch x := out.(type) {
 	case scatter.Merged:
+		d.Returns.RecordAnswer(service, time.Now())
 		return d.finish(entry, Merged{Records: x.Records, Signatures: x.Signatures, Missing: x.Missing})
 	case scatter.NotRun:
-		return d.finish(entry, NotRun{Reason: x.Reason, RetryAfter: x.RetryAfter})
+		return d.finish(entry, d.notRun(entry, service, deadline, NotRun{Reason: x.Reason, RetryAfter: x.RetryAfter}))
 	case scatter.Failed:
 		return d.finish(entry, Lost{Reason: x.Reason, Timeout: x.Timeout})
 	default:
@@ -148,18 +155,19 @@
 	}
 	verdict, wait := d.judge(entry.route, service, deadline)
 	if verdict == shardplan.Refuse {
-		return d.finish(entry, NotRun{Reason: scatter.ReasonDeadline, RetryAfter: wait})
+		return d.finish(entry, d.notRun(entry, service, deadline, NotRun{Reason: scatter.ReasonDeadline, RetryAfter: wait}))
 	}
 	out, trace := d.Forwarder.Run(ctx, forward.Job{Service: service, Route: entry.route, Request: entry.request.Request, Deadline: deadline})
 	entry.single = &trace
 	switch x := out.(type) {
 	case forward.Done:
-		d.count(verdict == shardplan.Probe, "needlessRefusals")
+		d.count(verdict == shardplan.Sample, "needlessRefusals")
+		d.Returns.RecordAnswer(service, time.Now())
 		return d.finish(entry, Forwarded{Answer: x.Answer})
 	case forward.Failed:
 		return d.finish(entry, forwardFailure(x))
 	case forward.NotRun:
-		return d.finish(entry, NotRun{Reason: x.Reason, RetryAfter: x.RetryAfter})
+		return d.finish(entry, d.notRun(entry, service, deadline, NotRun{Reason: x.Reason, RetryAfter: x.RetryAfter}))
 	case forward.Lost:
 		return d.finish(entry, Lost{Reason: x.Reason, Timeout: x.Timeout})
 	default:
@@ -182,6 +190,27 @@
 	return verdict, expected - left
 }
 
+// notRun returns the answer to a request that did not run. If targets lack capacity, the caller gets a time to return at which
+// there is some, before its deadline. Other delays, such as a target's own, are passed on.
+func (d *Dispatcher) notRun(entry requestLog, service string, deadline time.Time, a NotRun) NotRun {
+	if d.RefusesLate == nil || !d.RefusesLate() {
+		return a
+	}
+	switch a.Reason {
+	case forward.ReasonTargetsFull, forward.ReasonRetryBudget, forward.ReasonTimeout, scatter.ReasonDeadline:
+	default:
+		return a
+	}
+	now, r := time.Now(), entry.request
+	if r.Deadline > 0 {
+		deadline = r.ReceivedAt.Add(r.Deadline)
+	}
+	a.RetryAfter = d.Returns.Return(returntime.Refusal{
+		Service: service, Priority: entry.route.Priority, Wait: a.RetryAfter, Remaining: deadline.Sub(now),
+	}, now)
+	return a
+}
+
 func (d *Dispatcher) count(happened bool, counter string) {
 	if happened && d.Scope != nil {
 		d.Scope.Counter(counter).Inc(1)
--- a/internal/forward/crashing.go
+++ b/internal/forward/crashing.go
@@ -14,7 +14,10 @@
 		return false
 	}
 	wait, refused := f.Refuses(r.job.Request, r.job.Service)
-	r.refusedFor = wait
+	r.refusedFor = 0
+	if refused {
+		r.refusedFor = wait
+	}
 	return refused
 }
 
--- a/internal/scatter/gatherer.go
+++ b/internal/scatter/gatherer.go
@@ -141,7 +141,7 @@
 	if c.cutoffAt.After(s.Cutoff) {
 		g.lag.Observe(c.cutoffAt.Sub(s.Cutoff))
 	}
-	g.countProbe(verdict, collected)
+	g.countSample(verdict, collected)
 	trace := c.trace(shards, batch)
 	if c.unfinished > 0 {
 		batch.Abandon()
--- a/internal/scatter/omission.go
+++ b/internal/scatter/omission.go
@@ -48,9 +48,9 @@
 	return verdict, max(sorted[len(sorted)-allowed-1]-left, minRetryAfter)
 }
 
-// countProbe counts a search that was answered although it was expected to be late: others like it are refused needlessly.
-func (g *Gatherer) countProbe(verdict shardplan.Verdict, out Outcome) {
-	if _, answered := out.(Merged); answered && verdict == shardplan.Probe && g.Scope != nil {
+// countSample counts a search that was answered although it was expected to be late: others like it are refused needlessly.
+func (g *Gatherer) countSample(verdict shardplan.Verdict, out Outcome) {
+	if _, answered := out.(Merged); answered && verdict == shardplan.Sample && g.Scope != nil {
 		g.Scope.Counter("needlessRefusals").Inc(1)
 	}
 }
--- a/internal/shardplan/planner.go
+++ b/internal/shardplan/planner.go
@@ -56,8 +56,8 @@
 const (
 	// Run is the verdict on a request that can be served in time.
 	Run Verdict = iota
-	// Probe is the verdict on the few requests that run although they are not expected to be served in time.
-	Probe
+	// Sample is the verdict on the few requests that run although they are not expected to be served in time.
+	Sample
 	// Refuse is the verdict on the others.
 	Refuse
 )
@@ -74,7 +74,7 @@
 		return Run
 	}
 	if p.chance() < fullShare {
-		return Probe
+		return Sample
 	}
 	return Refuse
 }
