--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -14,8 +15,10 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/grace"
 	"github.com/knapweedpoint/knapweedpoint/internal/inflight"
 	"github.com/knapweedpoint/knapweedpoint/internal/platformstate"
+	"github.com/knapweedpoint/knapweedpoint/internal/returntime"
 	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
 	"github.com/knapweedpoint/knapweedpoint/internal/scatter"
+	"github.com/knapweedpoint/knapweedpoint/internal/shardplan"
 	"github.com/knapweedpoint/knapweedpoint/internal/split"
 )
 
@@ -57,6 +60,13 @@
 	InFlight inflight.Register
 	// Quota checks the requests of accounts; it is optional.
 	Quota *accountquota.Admission
+	// RefusesLate reports whether look-ups that are expected to end after their deadline are refused at once. It is optional;
+	// without it none is.
+	RefusesLate func() bool
+	// Planner chooses those that run nevertheless.
+	Planner shardplan.Planner
+	// Returns schedules the returns of refused callers if RefusesLate does.
+	Returns returntime.Schedule
 	// Log and Scope are optional.
 	Log   *zap.Logger
 	Scope tally.Scope
@@ -148,6 +158,8 @@
 }
 
 func (d *Dispatcher) search(ctx context.Context, entry requestLog, s routetable.Scatter, deadline time.Time) Answer {
+	// Searches of all kinds over the same shards compete for the same targets, so the first shard stands for all.
+	service := lo.FirstOrEmpty(s.Shards)
 	out, trace := d.Gatherer.Run(ctx, scatter.Search{
 		Route: entry.route, Scatter: s, Request: entry.request.Request, ReceivedAt: entry.request.ReceivedAt, Deadline: deadline,
 		Revoked: entry.revoked,
@@ -156,9 +168,10 @@
 	entry.typicalLatency = d.Forwarder.TypicalLatency(entry.route)
 	switch x := out.(type) {
 	case scatter.Merged:
+		d.Returns.RecordAnswer(service, time.Now())
 		return d.finish(entry, Merged{Records: x.Records, Signatures: x.Signatures, Missing: x.Missing})
 	case scatter.NotRun:
-		return d.finish(entry, NotRun{Reason: x.Reason, RetryAfter: x.RetryAfter})
+		return d.finish(entry, d.notRun(entry, service, deadline, NotRun{Reason: x.Reason, RetryAfter: x.RetryAfter}))
 	case scatter.Failed:
 		return d.finish(entry, Lost{Reason: x.Reason, Timeout: x.Timeout})
 	default:
@@ -170,17 +183,21 @@
 	if service == "" {
 		return d.finish(entry, NotRun{Reason: ReasonNoService, RetryAfter: retryAfterUnconfigured})
 	}
-	out, trace := d.Forwarder.Run(ctx, forward.Job{
-		Service: service, Route: entry.route, Request: entry.request.Request, Deadline: deadline, Revoked: entry.revoked,
-	})
+	verdict, wait := d.judge(entry.route, service, deadline)
+	if verdict == shardplan.Refuse {
+		return d.finish(entry, d.notRun(entry, service, deadline, NotRun{Reason: scatter.ReasonDeadline, RetryAfter: wait}))
+	}
+	out, trace := d.Forwarder.Run(ctx, forward.Job{Service: service, Route: entry.route, Request: entry.request.Request, Deadline: deadline, Revoked: entry.revoked})
 	entry.single = &trace
 	switch x := out.(type) {
 	case forward.Done:
+		d.count(verdict == shardplan.Sample, "needlessRefusals")
+		d.Returns.RecordAnswer(service, time.Now())
 		return d.finish(entry, Forwarded{Answer: x.Answer})
 	case forward.Failed:
 		return d.finish(entry, forwardFailure(x))
 	case forward.NotRun:
-		return d.finish(entry, NotRun{Reason: x.Reason, RetryAfter: x.RetryAfter})
+		return d.finish(entry, d.notRun(entry, service, deadline, NotRun{Reason: x.Reason, RetryAfter: x.RetryAfter}))
 	case forward.Lost:
 		return d.finish(entry, Lost{Reason: x.Reason, Timeout: x.Timeout})
 	default:
@@ -188,6 +205,48 @@
 	}
 }
 
+// judge returns the verdict on a look-up, and how long its callers should wait if it is refused.
+func (d *Dispatcher) judge(route routetable.Route, service string, deadline time.Time) (shardplan.Verdict, time.Duration) {
+	if d.RefusesLate == nil || !d.RefusesLate() {
+		return shardplan.Run, 0
+	}
+	expected, known := d.Forwarder.ExpectedLatency(route, service)
+	left := time.Until(deadline)
+	if !known || expected <= left {
+		return shardplan.Run, 0
+	}
+	verdict := d.Planner.Judge([]time.Duration{expected}, left, 1)
+	d.count(verdict == shardplan.Refuse, "refusedAtOnce")
+	return verdict, expected - left
+}
+
+// notRun returns the answer to a request that did not run. If targets lack capacity, the caller gets a time to return at which
+// there is some, before its deadline. Other delays, such as a target's own, are passed on.
+func (d *Dispatcher) notRun(entry requestLog, service string, deadline time.Time, a NotRun) NotRun {
+	if d.RefusesLate == nil || !d.RefusesLate() {
+		return a
+	}
+	switch a.Reason {
+	case forward.ReasonTargetsFull, forward.ReasonRetryBudget, forward.ReasonTimeout, scatter.ReasonDeadline:
+	default:
+		return a
+	}
+	now, r := time.Now(), entry.request
+	if r.Deadline > 0 {
+		deadline = r.ReceivedAt.Add(r.Deadline)
+	}
+	a.RetryAfter = d.Returns.Return(returntime.Refusal{
+		Service: service, Priority: entry.route.Priority, Wait: a.RetryAfter, Remaining: deadline.Sub(now),
+	}, now)
+	return a
+}
+
+func (d *Dispatcher) count(happened bool, counter string) {
+	if happened && d.Scope != nil {
+		d.Scope.Counter(counter).Inc(1)
+	}
+}
+
 // forwardFailure passes the failure of a target through, unless its status would tell the caller that the request did
 // not run.
 func forwardFailure(f forward.Failed) Answer {
