--- a/internal/aggregator/call.go
+++ b/internal/aggregator/call.go
@@ -95,7 +95,7 @@
 		anomalies: map[string]forward.Trace{},
 	}
 	parent, cancelParent := context.WithCancelCause(context.Background())
-	c.ctx, c.cancel = context.WithDeadline(parent, c.deadline())
+	c.ctx, c.cancel = context.WithDeadline(parent, c.endsAt())
 	c.giveUp = func() { cancelParent(errLeaving) }
 	return c
 }
@@ -125,6 +125,8 @@
 				c.log()
 			} else if errors.Is(c.ctx.Err(), context.Canceled) {
 				c.reportNotRun(batch)
+			} else {
+				c.reportUnsent(batch)
 			}
 			batch.Abandon()
 			return
@@ -139,6 +141,24 @@
 	c.log()
 }
 
+// endsAt returns when the call ends, so that shards that were not sent until then are reported before the requesting daemon stops
+// waiting.
+func (c *call) endsAt() time.Time {
+	return c.deadline().Add(-min(cutoffMargin, millis(c.message.GetLeftMillis())/minDeadlineDivisor))
+}
+
+// reportUnsent reports the shards of a call whose time is up that no target has run or can still run.
+func (c *call) reportUnsent(batch *forward.Batch) {
+	now := time.Now()
+	unsent := lo.Reject(lo.Keys(c.pending), func(shard, _ int) bool { return batch.MayHaveRun(shard) })
+	for _, shard := range unsent {
+		c.record(forward.JobResult{Index: shard, Outcome: forward.NotRun{Reason: forward.ReasonTimeout}, Trace: batch.PendingTrace(shard, now)})
+	}
+	if len(c.unsent) > 0 {
+		c.sendReply(now)
+	}
+}
+
 // reportNotRun reports a cancelled call of which nothing has run, because the requesting daemon may then tell its caller so.
 func (c *call) reportNotRun(batch *forward.Batch) {
 	if c.mayHaveRun || lo.SomeBy(lo.Keys(c.pending), batch.MayHaveRun) {
@@ -166,8 +186,7 @@
 }
 
 func (c *call) jobs() []forward.Job {
-	// Shards that were not sent until then are reported before the requesting daemon stops waiting.
-	deadline := c.deadline().Add(-min(cutoffMargin, millis(c.message.GetLeftMillis())/minDeadlineDivisor))
+	deadline := c.deadline()
 	route, request := partswire.DecodeRoute(c.message), partswire.DecodeRequest(c.message.GetRequest())
 	return lo.Map(c.message.GetShards(), func(shard string, _ int) forward.Job {
 		return forward.Job{
--- a/internal/aggregator/loads.go
+++ b/internal/aggregator/loads.go
@@ -7,6 +7,7 @@
 
 	"github.com/knapweedpoint/knapweedpoint/internal/gossippb"
 	"github.com/knapweedpoint/knapweedpoint/internal/partswire"
+	"github.com/knapweedpoint/knapweedpoint/internal/shardplan"
 )
 
 // reportInterval is how often late shards are reported again after a call has ended. Requesting daemons keep a report for
@@ -24,7 +25,7 @@
 	left := time.Duration(max(c.message.GetCutMillis(), 0)) * time.Millisecond
 	return lo.FilterMap(c.message.GetShards(), func(shard string, i int) (*gossippb.ShardLoad, bool) {
 		expected, ok := c.aggregator.Forwarder.ExpectedLatency(route, shard)
-		return &gossippb.ShardLoad{Shard: uint32(i), ExpectedMillis: uint32(expected.Milliseconds())}, ok && expected > left
+		return &gossippb.ShardLoad{Shard: uint32(i), ExpectedMillis: uint32(expected.Milliseconds())}, ok && float64(expected) > shardplan.LateFactor*float64(left)
 	})
 }
 
--- a/internal/events/event.go
+++ b/internal/events/event.go
@@ -105,8 +105,8 @@
 		RequestSuspect, RequestRefused, BookingUnknown, ListenerFailed,
 		RequestEnded, PartsEnded, HolderSilent, PartsRefused, StoreLost, StoreRegained, StoreRead, CopyTaken, CopyFailed, EntryForeign, OrdersTaken, StoreRestored, ConfigurationRead,
 		TargetPublished, TargetWithdrawn, TargetDown, RequestCrashes, AnswerOverlong, TargetLimited, TargetUnlimited, LimitUnreadable, LimitedSends,
-		DatagramFailed, DatagramOdd, MembersChanged, TargetLeaving, TargetHoldsOff, TargetUsedAgain, HoldUnreadable, CallBroken, SuspicionCleared, LossesDropped, ClockSuspended, RequestOnTrial, QuotaRefused, SettingsReloaded, SettingsRefused,
-		LogLinesDropped, InterfaceFailed, WorkPanicked, CallerRefused, CallsQueued,
+		DatagramFailed, DatagramOdd, MembersChanged, TargetLeaving, TargetHoldsOff, TargetUsedAgain, HoldUnreadable, CallBroken, SuspicionCleared, LossesDropped, ClockSuspended, RequestOnTrial, QuotaRefused, CallsQueued, SettingsReloaded, SettingsRefused,
+		LogLinesDropped, InterfaceFailed, WorkPanicked, CallerRefused,
 	}
 }
 
