--- a/internal/accountquota/admission.go
+++ b/internal/accountquota/admission.go
@@ -1,6 +1,7 @@
 package accountquota
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -17,8 +18,14 @@
 )
 
 const (
-	// localShare is the share of the surplus that all daemons together admit without a permit. The rest is for permits.
+	// localShare is the share of the slack that all daemons together admit without a permit. The rest is for permits, and the
+	// overshoot for the parts of a partitioned fleet.
 	localShare = 0.5
+	// wholeSurplus is the surplus from which on each daemon that has just started admits one request of an account though it was
+	// denied. If the surplus is smaller, only some daemons do; the same holds for the request of a window without issuers once
+	// a daemon must know the others. With 46 daemons that callers reach, an account at five times its quota then stays below the
+	// bound when the whole fleet restarts, and when it is partitioned into four parts.
+	wholeSurplus = 33
 	// retryWithoutIssuer is when to try again if no issuer can be asked and this daemon's part of the surplus is used up:
 	// other daemons still have theirs, and issuers are known soon.
 	retryWithoutIssuer = 500 * time.Millisecond
@@ -53,27 +60,27 @@
 	events throttle.Limiter
 
 	mu sync.Mutex
-	// knownFrom is when this daemon must know the others, startedFrom when the issuers of a fleet that started together issue
-	// their whole parts.
-	knownFrom, startedFrom time.Time
-	named                  map[string]bool
-	states                 map[string]*state
+	// knownFrom is when this daemon must know the others.
+	knownFrom time.Time
+	named     map[string]bool
+	states    map[string]*state
 }
 
 // state is what a daemon knows of one account.
 type state struct {
 	// local holds when requests were admitted without a permit, within the last window.
 	local []time.Time
+	// overruled is set once a denial was overruled, or was not by chance.
+	overruled bool
 	// refused counts the refusals since the last event.
 	refused int
 }
 
-// SetStart sets from when on this daemon must know the others, and from when on the issuers that started together with it
-// issue their whole parts.
-func (a *Admission) SetStart(knownFrom, startedFrom time.Time) {
+// SetStart sets from when on this daemon must know the others.
+func (a *Admission) SetStart(knownFrom time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.knownFrom, a.startedFrom = knownFrom, startedFrom
+	a.knownFrom = knownFrom
 }
 
 // SetAccounts sets the accounts in force. The state of others is removed.
@@ -104,8 +111,7 @@
 			a.Permits.Return(x, rules, d.Grant, time.Now())
 		}}
 	case permit.Denied:
-		// The issuers of a fleet that has just started issue a part, from nothing, and may not be the same for all daemons.
-		if a.starting() {
+		if a.mayOverrule(x, rules) {
 			if admitted, ok := a.admitLocally(x, rules); ok {
 				return admitted
 			}
@@ -119,23 +125,36 @@
 	}
 }
 
-func (a *Admission) starting() bool {
+// mayOverrule reports whether a request may be admitted from the surplus though it was denied. The issuers of a fleet that has
+// just started issue a part, from nothing, and may not be the same for all daemons: until this daemon must know the others, it
+// overrules one denial for each account. Where the surplus is small, only some of the daemons do.
+func (a *Admission) mayOverrule(x account.Account, rules permit.Rules) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return time.Now().Before(a.startedFrom)
+	s := a.state(x.Name)
+	if s.overruled || !time.Now().Before(a.knownFrom) {
+		return false
+	}
+	s.overruled = true
+	return rand.Float64() < surplus(x, rules)/wholeSurplus
+}
+
+func surplus(x account.Account, rules permit.Rules) float64 {
+	return permit.Account{Burst: x.Quota.Burst, Rules: rules}.Surplus(x.Quota.PerSecond)
 }
 
-// admitLocally admits a request from this daemon's part of the surplus: one request in a window, or its share of the surplus
-// among the daemons that it knows if that is more.
+// admitLocally admits a request from this daemon's part of the surplus: at most one request in a window, or its share of half
+// the slack among the daemons that it knows if that is more.
 func (a *Admission) admitLocally(x account.Account, rules permit.Rules) (Admitted, bool) {
 	now := time.Now()
-	surplus := permit.Account{Burst: x.Quota.Burst, Rules: rules}.Surplus(x.Quota.PerSecond)
+	surplus := surplus(x, rules)
 	known := a.Known()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	part := 1.0
+	part, chance := 1.0, 1.0
 	if !now.Before(a.knownFrom) {
-		part = max(part, localShare*surplus/float64(max(1, known)))
+		part = max(part, localShare*rules.Slack/float64(max(1, known)))
+		chance = surplus / wholeSurplus
 	}
 	s := a.state(x.Name)
 	s.local = slices.DeleteFunc(s.local, func(at time.Time) bool { return now.Sub(at) > rules.Window })
@@ -143,6 +162,9 @@
 		return Admitted{}, false
 	}
 	s.local = append(s.local, now)
+	if part == 1 && rand.Float64() >= chance {
+		return Admitted{}, false
+	}
 	a.countLocked(x.Name, "withoutPermit")
 	return Admitted{giveBack: func() { a.returnLocal(x.Name, now) }}, true
 }
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -8,12 +8,18 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/knapweedpoint/knapweedpoint/internal/account"
+	"github.com/knapweedpoint/knapweedpoint/internal/accountquota"
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
 	"github.com/knapweedpoint/knapweedpoint/internal/crashguard"
 	"github.com/knapweedpoint/knapweedpoint/internal/dispatch"
 	"github.com/knapweedpoint/knapweedpoint/internal/forward"
 	"github.com/knapweedpoint/knapweedpoint/internal/inventory"
+	"github.com/knapweedpoint/knapweedpoint/internal/issuertable"
 	"github.com/knapweedpoint/knapweedpoint/internal/operatorstate"
+	"github.com/knapweedpoint/knapweedpoint/internal/permit"
+	"github.com/knapweedpoint/knapweedpoint/internal/permitclient"
+	"github.com/knapweedpoint/knapweedpoint/internal/permitissuer"
 	"github.com/knapweedpoint/knapweedpoint/internal/platformstate"
 	"github.com/knapweedpoint/knapweedpoint/internal/retrybudget"
 	"github.com/knapweedpoint/knapweedpoint/internal/routetable"
@@ -108,6 +114,38 @@
 	}
 }
 
+// Guards against quota that is used by requests that ran nowhere, and against requests that are sent before their check.
+func TestRefusedRequestsReturnTheirQuota(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newFixture(scriptedtarget.Behaviour{})
+		x.configure()
+		s := *x.cell.Get()
+		caller := account.Account{Name: "a", Quota: account.Quota{PerSecond: 0.1, Burst: 1}}
+		s.OperatorState.Table = s.OperatorState.Table.WithAccounts(account.NewTable([]account.Keyed{{Account: caller}}))
+		x.cell.Set(&s)
+		table := &blackboard.Cell[issuertable.Table]{}
+		table.Set(issuertable.New("vm", []issuertable.Member{{Name: "vm"}}, 1))
+		x.dispatcher.Quota = &accountquota.Admission{
+			Name: "vm", Permits: &permitclient.Client{Name: "vm", Table: table, Issuer: &permitissuer.Issuer{Table: table}},
+			Rules: func() permit.Rules { return permit.Rules{Window: 5 * time.Second} }, Known: func() int { return 1 },
+		}
+		time.Sleep(10 * time.Second)
+		ask := func(path string) dispatch.Answer {
+			return x.dispatcher.Handle(context.Background(), dispatch.CallerRequest{
+				Request: targetcall.Request{Method: "GET", Host: "h", Path: path, Account: "a"}, ReceivedAt: time.Now(),
+			})
+		}
+		for range 5 {
+			require.IsType(t, dispatch.NotRun{}, ask("/nowhere/1"))
+		}
+		require.IsType(t, dispatch.Forwarded{}, ask("/one/1"))
+		require.Equal(t, dispatch.OverQuota{RetryAfter: 10 * time.Second}, ask("/one/1"))
+		time.Sleep(10 * time.Second)
+		require.IsType(t, dispatch.Merged{}, ask("/all/1"))
+		x.pool.Close()
+	})
+}
+
 func TestAnswerIsReadyBeforeTheDeadlineOfTheCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := newFixture(scriptedtarget.Behaviour{Delay: time.Hour})
--- a/internal/entry/housekeeper.go
+++ b/internal/entry/housekeeper.go
@@ -135,7 +135,7 @@
 	settledAt := h.firstRound.Add(settleAfter)
 	knownFrom, fullFrom := h.firstRound.Add(roster.LivenessTimeout), settledAt.Add(handover)
 	h.daemon.permitIssuer.SetStart(knownFrom, fullFrom)
-	h.daemon.quota.SetStart(knownFrom, fullFrom)
+	h.daemon.quota.SetStart(knownFrom)
 	if !now.Before(settledAt) {
 		h.settled = true
 		h.daemon.sync.gossiper.AnnounceSettled()
--- a/internal/issuertable/table.go
+++ b/internal/issuertable/table.go
@@ -92,20 +92,23 @@
 	if t == nil {
 		return 0
 	}
-	surplus := min(FallbackShare, overshoot)
-	// The parts of a partitioned fleet together issue no more than the limit and the surplus.
-	share := min(1, (1+surplus)*t.reachable)
-	main := t.MainIssuers()
+	share, main := t.Part(overshoot), t.MainIssuers()
 	switch rank := slices.Index(t.Issuers(id, zone), t.self); {
 	case rank < 0:
 		return 0
 	case rank < main:
 		return share / float64(main)
 	default:
-		return share * surplus
+		return share * min(FallbackShare, overshoot)
 	}
 }
 
+// Part returns the share of a limit that this daemon's part of a partitioned fleet issues. All parts together issue no more
+// than the limit and the surplus.
+func (t *Table) Part(overshoot float64) float64 {
+	return min(1, (1+min(FallbackShare, overshoot))*t.reachable)
+}
+
 // Same reports whether the table was made of the same values.
 func (t *Table) Same(members []Member, reachable float64) bool {
 	return t != nil && t.reachable == reachable && slices.Equal(t.members, members)
--- a/internal/permitissuer/issuer.go
+++ b/internal/permitissuer/issuer.go
@@ -16,15 +16,16 @@
 	burstTime    = 500 * time.Millisecond
 	// retryElsewhere is when to ask again after a daemon that is not an issuer of the target was asked.
 	retryElsewhere = 100 * time.Millisecond
-	// startShare is the share of its part that an issuer of accounts issues until its start is complete. Daemons that start
-	// together do not agree on the issuers yet, and the permits of the processes before them count in the same window.
+	// startShare is the share of its part that an issuer of accounts issues before it must know the other daemons, and the share
+	// of newStockShare until its start is complete. Daemons that start together do not agree on the issuers yet, and the permits
+	// of the processes before them count in the same window.
 	startShare = 0.5
-	// stockShare is the share of an account's surplus that the issuers accumulate in addition to its burst, so that requests
+	// stockShare is the share of an account's slack that the issuers accumulate in addition to its burst, so that requests
 	// that come unevenly are not refused while the account is within its quota.
 	stockShare = 0.25
-	// newStockShare is the share of the surplus that an issuer may issue at once for an account that it is new to. The issuers
-	// of an account can be replaced twice in a window within a quarter of the surplus.
-	newStockShare = 0.125
+	// newStockShare is the share of the slack that new issuers of an account may issue at once. With it, stockShare and what
+	// daemons admit without issuers, the slack suffices if the issuers of an account are replaced once in a window.
+	newStockShare = 0.25
 )
 
 // Issuer issues this daemon's part of the permits of targets that have rate limits and of accounts that have quotas. Table is required.
@@ -85,15 +86,17 @@
 	if share == 0 || now.Before(i.from) && table.MainIssuers() < 2 {
 		return permit.NoIssuer{}
 	}
-	surplus := a.Surplus(r.PerSecond)
-	rate, stock := share*r.PerSecond, share*newStockShare*surplus
-	capacity := max(1, share*(a.Burst+stockShare*surplus))
-	if now.Before(i.fullFrom) {
+	// The parts of a partitioned fleet are new to each other's accounts at the same time, so that each issues less at once.
+	rate, stock := share*r.PerSecond, share*newStockShare*a.Rules.Slack*table.Part(a.Rules.Overshoot)
+	capacity := max(1, share*(a.Burst+stockShare*a.Rules.Slack))
+	switch {
+	case now.Before(i.from):
 		rate *= startShare
 		stock = 0
-	} else {
-		stock += rate * now.Sub(table.CreatedAt()).Seconds()
+	case now.Before(i.fullFrom):
+		stock *= startShare
 	}
+	stock += rate * max(0, now.Sub(table.CreatedAt()).Seconds())
 	b := i.bucket(r.ID, stock, now)
 	if wait := b.take(rate, capacity, now); wait > 0 {
 		return permit.Denied{RetryAfter: wait, Issuer: g.Issuer}
--- a/internal/rendezvous/rank.go
+++ b/internal/rendezvous/rank.go
@@ -75,5 +75,6 @@
 	slices.SortFunc(ranked, func(a, b string) int {
 		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
 	})
-	return ranked[:min(n, len(ranked))]
+	// The copy releases the rest of the names: callers keep the result for many keys.
+	return slices.Clone(ranked[:min(n, len(ranked))])
 }
