--- a/internal/forward/overload_test.go
+++ b/internal/forward/overload_test.go
@@ -158,8 +158,9 @@
 	}
 }
 
-// Guards against slots that stay taken, and calls that wait for ever, after a job in the queue has been given up, and against
-// hedges that take slots of a full service.
+// Guards against slots that stay taken, and calls that wait for ever, after a job in the queue has been given up; against
+// hedges that take slots of a full service; and against all calls being released because late ones are cancelled, which ejects
+// their target.
 func TestJobsThatEndLeaveTheQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := newFixture(always(scriptedtarget.Behaviour{Delay: 300 * time.Millisecond}), "a")
@@ -167,6 +168,7 @@
 		var running sync.WaitGroup
 		results := make([]string, 40)
 		for i := range results {
+			time.Sleep(time.Millisecond)
 			ctx, cancel := context.WithTimeout(context.Background(), lo.Ternary(i%2 == 0, time.Hour, time.Duration(i)*20*time.Millisecond))
 			running.Go(func() {
 				defer cancel()
@@ -178,6 +180,7 @@
 		running.Wait()
 		x.close()
 		require.Subset(t, results, []string{"done", "lost", "notRun"})
+		require.Less(t, len(x.sender.Calls()), 20, "the target handles two calls well in each 300 ms")
 		usage := x.forwarder.TakeQueueUsage()
 		require.Positive(t, usage.Late)
 		require.Zero(t, usage.Waiting+usage.Services)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -300,8 +300,10 @@
 
 // backOff schedules another round over targets that were all full. It returns false when there is not enough time.
 func (r *run) backOff(now time.Time) bool {
-	if f := r.batch.forwarder; f.QueueCalls && f.Selector.LearnCapacity && f.room(r.job.Service, now).Open {
-		return r.wait(now)
+	if f := r.batch.forwarder; f.QueueCalls && f.Selector.LearnCapacity {
+		if room := f.room(r.job.Service, now); room.Open && !room.Ejected {
+			return r.wait(now)
+		}
 	}
 	wait := max(r.batch.forwarder.Selector.TypicalLatency(r.job.class())/2, minBackoff)
 	if r.job.Deadline.Sub(now) < 2*wait {
--- a/internal/targetselect/selector.go
+++ b/internal/targetselect/selector.go
@@ -150,41 +150,47 @@
 
 // Room is how many more calls some targets can take.
 type Room struct {
-	// Open is set if any of the targets is not ejected.
-	Open bool
-	// Calls is the number of calls until all targets that are not ejected are at their learned limits.
+	// Open is set if there are any targets that may receive work, Ejected if all of them are ejected.
+	Open, Ejected bool
+	// Calls is the number of calls until all targets are at their learned limits.
 	Calls int
 	// At is when Calls rises from 0 if no call ends; zero if a call of this daemon has to end first.
 	At time.Time
-	// Slots is the number of slots of the targets that are not ejected.
+	// Slots is the number of slots of the targets.
 	Slots int
 }
 
-// Room returns how many more calls the targets can take. Targets that keep refusing calls count only if all do.
+// Room returns how many more calls the targets can take. Targets that keep refusing calls count only if there are no others,
+// and ejected ones only if there are none of these either. A call that is cancelled late ejects its target, which must not
+// release all the calls that wait for it.
 func (s *Selector) Room(targets []inventory.Target, now time.Time) Room {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var room, avoided Room
+	var room, avoided, ejected Room
+	var changes time.Time
 	for _, t := range targets {
 		r := s.record(t)
-		if !s.available(t, now) {
-			if !r.gone {
-				room.wake(r.ejectedUntil)
-			}
-			continue
-		}
-		if until, ok := r.capacity.Avoided(now); ok {
+		until, isAvoided := r.capacity.Avoided(now)
+		switch {
+		case r.gone:
+		case !s.available(t, now):
+			ejected.add(r, now)
+			changes = earlier(changes, r.ejectedUntil)
+		case isAvoided:
 			avoided.add(r, now)
-			room.wake(until)
-			continue
+			changes = earlier(changes, until)
+		default:
+			room.add(r, now)
 		}
-		room.add(r, now)
 	}
-	if !room.Open && avoided.Open {
-		avoided.wake(room.At)
-		return avoided
+	if !room.Open {
+		room = avoided
+	}
+	if !room.Open {
+		room = ejected
+		room.Ejected = room.Open
 	}
-	room.Slots += avoided.Slots
+	room.At = earlier(room.At, changes)
 	return room
 }
 
@@ -193,13 +199,15 @@
 	m.Open = true
 	m.Calls += calls
 	m.Slots += r.capacity.Slots()
-	m.wake(at)
+	m.At = earlier(m.At, at)
 }
 
-func (m *Room) wake(at time.Time) {
-	if !at.IsZero() && (m.At.IsZero() || at.Before(m.At)) {
-		m.At = at
+// earlier returns the earlier of two times; zero stands for never.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
 	}
+	return a
 }
 
 // ServiceTime returns the time that a call takes at the fastest of the targets, without waiting; it is at most the typical
