--- a/internal/aggregator/loads.go
+++ b/internal/aggregator/loads.go
@@ -32,9 +32,8 @@
 }
 
 // recoveredShare is the share of the time until the cutoff within which a late shard must be expected to answer to count as
-// fast again. An aggregator sees only its own calls to a target, so that a slow target seems idle between two of them. Of 1, 0.75, 0.5 and
-// 0.3, the fewest searches were late with 0.5.
-const recoveredShare = 0.5
+// fast again. An aggregator sees only its own calls to a target, so that a slow target seems idle between two of them.
+const recoveredShare = 1
 
 // lateShards holds the expected latency of late shards by route and shard.
 type lateShards struct {
--- a/internal/shardplan/planner.go
+++ b/internal/shardplan/planner.go
@@ -13,8 +13,8 @@
 	// spread is how much two expectations may differ, as a share, and still count as about equal. Expectations at two
 	// aggregators, or before and after one call, differ by about one call in the queue of a target with two slots.
 	spread = 0.5
-	// LateFactor is the multiple of the time left from which on a shard counts as late. Latencies vary by a third around their
-	// expectation, so a shard that is expected somewhat late still answers many calls in time.
+	// LateFactor is the multiple of the time left from which on a shard counts as late. Latencies vary around their expectation,
+	// so a shard that is expected somewhat late still answers many calls in time.
 	LateFactor = 1.35
 )
 
