--- a/internal/aggregator/call.go
+++ b/internal/aggregator/call.go
@@ -29,11 +29,9 @@
 	// replyInterval is the time between later replies.
 	replyInterval = 0.125
 	// cutoffMargin is how long before the cutoff of the requesting daemon the available parts are sent, and how long before
-	// its deadline the jobs of a call end: one hop
+	// its deadline a call of which nothing has run is reported: one hop
 	// between zones and one scheduling pause of a small VM.
 	cutoffMargin = 4 * time.Millisecond
-	// minDeadlineDivisor bounds how much earlier than the requesting daemon's deadline the jobs of a call end.
-	minDeadlineDivisor = 4
 )
 
 // ReasonLeaving is the reason given for shards that had no result when their aggregator exited.
@@ -117,8 +115,13 @@
 	defer batch.Release()
 	hedgeDelay := time.Duration(targetselect.HedgeDelayFactor * float64(c.aggregator.Forwarder.TypicalLatency(partswire.DecodeRoute(c.message))))
 	c.nextReply = c.startedAt.Add(min(c.objectiveShare(firstReply), max(hedgeDelay-grantLead, 0)))
+	notRunAt := c.deadline().Add(-cutoffMargin)
 	for len(c.pending) > 0 {
-		results := batch.Next(c.ctx, c.wake())
+		wake := c.wake()
+		if notRunAt.Before(wake) {
+			wake = notRunAt
+		}
+		results := batch.Next(c.ctx, wake)
 		if len(results) == 0 && c.ctx.Err() != nil {
 			if errors.Is(context.Cause(c.ctx), errLeaving) {
 				c.markLost(batch, time.Now())
@@ -132,6 +135,13 @@
 		for _, r := range results {
 			c.record(r)
 		}
+		if !time.Now().Before(notRunAt) {
+			// The requesting daemon must know before it stops waiting.
+			notRunAt = c.deadline().Add(maxDuration)
+			if c.reportNotRun(batch) {
+				break
+			}
+		}
 		if now := time.Now(); c.due(now) {
 			c.sendReply(now)
 		}
@@ -139,22 +149,24 @@
 	c.log()
 }
 
-// reportNotRun reports a cancelled call of which nothing has run, because the requesting daemon may then tell its caller so.
-func (c *call) reportNotRun(batch *forward.Batch) {
+// reportNotRun reports a call that is cancelled or about to end and of which nothing has run, because
+// the requesting daemon may then tell its caller so. It returns false if a target may have run the call.
+func (c *call) reportNotRun(batch *forward.Batch) bool {
 	if c.mayHaveRun || lo.SomeBy(lo.Keys(c.pending), batch.MayHaveRun) {
-		return
+		return false
 	}
 	batch.Stop()
 	for len(c.pending) > 0 {
 		results := batch.Next(c.ctx, time.Time{})
 		if len(results) == 0 {
-			return
+			return false
 		}
 		for _, r := range results {
 			c.record(r)
 		}
 	}
 	c.sendReply(time.Now())
+	return true
 }
 
 // markLost reports the shards without a result as lost, because their targets may still be running them.
@@ -166,8 +178,7 @@
 }
 
 func (c *call) jobs() []forward.Job {
-	// Shards that were not sent until then are reported before the requesting daemon stops waiting.
-	deadline := c.deadline().Add(-min(cutoffMargin, millis(c.message.GetLeftMillis())/minDeadlineDivisor))
+	deadline := c.deadline()
 	route, request := partswire.DecodeRoute(c.message), partswire.DecodeRequest(c.message.GetRequest())
 	return lo.Map(c.message.GetShards(), func(shard string, _ int) forward.Job {
 		return forward.Job{
