--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 	"time"
 )
@@ -20,8 +21,10 @@
 	maxHeadBytes = 64 << 10
 	// maxHealthBytes bounds one answer to a question for health.
 	maxHealthBytes = 4 << 10
-	dialTimeout    = 250 * time.Millisecond
-	idleTimeout    = 5 * time.Minute
+	// maxStatus is the greatest status code of a reply.
+	maxStatus   = 599
+	dialTimeout = 250 * time.Millisecond
+	idleTimeout = 5 * time.Minute
 )
 
 // Client is a Runner over HTTP; its zero value is ready to use.
@@ -39,7 +42,7 @@
 		return nil, NotSent.Wrap(err, "encode batch")
 	}
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }, Got1xxResponse: checkInterim}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, "http://"+address+PathRun, bytes.NewReader(body))
 	if err != nil {
 		return nil, NotSent.Wrap(err, "build request")
@@ -50,6 +53,12 @@
 		return nil, wrapError(ctx, err, connected.Load())
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		_ = resp.Body.Close()
+		// net/http keeps the connection if the reply has no body.
+		c.http().CloseIdleConnections()
+		return nil, Malformed.New("reply has status %03d", resp.StatusCode)
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxReplyBytes+1))
 	if err != nil {
 		return nil, wrapError(ctx, err, true)
@@ -57,6 +66,14 @@
 	return DecodeReply(data, b)
 }
 
+// checkInterim fails the call if an interim response announces a body, which net/http would take for the reply.
+func checkInterim(status int, header textproto.MIMEHeader) error {
+	if length := header.Get("Content-Length"); length != "" && length != "0" {
+		return Malformed.New("interim response has status %d and a body", status)
+	}
+	return nil
+}
+
 // Health reads the target's health.
 func (c *Client) Health(ctx context.Context, address string) (Health, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathHealth, nil)
--- a/pkg/target/failure.go
+++ b/pkg/target/failure.go
@@ -29,9 +29,17 @@
 	Health(ctx context.Context, address string) (Health, error)
 }
 
+// isMalformed reports whether net/http has wrapped a Malformed error.
+func isMalformed(err error) bool {
+	var e *errorx.Error
+	return errors.As(err, &e) && e.IsOfType(Malformed)
+}
+
 // wrapError wraps the error of a failed call in the type that matches how far the batch had come.
 func wrapError(ctx context.Context, err error, connected bool) error {
 	switch {
+	case isMalformed(err):
+		return Malformed.Wrap(err, "invalid interim response")
 	case !connected:
 		return NotSent.Wrap(err, "no connection")
 	case ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded):
