--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -13,7 +12,6 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/aggregatorclient"
 	"github.com/knapweedpoint/knapweedpoint/internal/answermargin"
 	"github.com/knapweedpoint/knapweedpoint/internal/blackboard"
-	"github.com/knapweedpoint/knapweedpoint/internal/boundedhttp"
 	"github.com/knapweedpoint/knapweedpoint/internal/crashguard"
 	"github.com/knapweedpoint/knapweedpoint/internal/crashreport"
 	"github.com/knapweedpoint/knapweedpoint/internal/dispatch"
@@ -37,9 +35,6 @@
 	"github.com/knapweedpoint/knapweedpoint/internal/targetselect"
 )
 
-// requestTimeout is the time within which peers and operators must send a request.
-const requestTimeout = 5 * time.Second
-
 // thousandths of a core are the unit in which a VM's CPU capacity is sent to peers.
 const thousandths = 1000
 
@@ -90,18 +85,11 @@
 	d.housekeeper = do.MustInvoke[*housekeeper](d.injector)
 	d.callers = d.options.NewCallerServer(d.Answer)
 	d.readiness = d.options.NewReadinessServer(d.Ready)
-	d.peers = newServer(peercopy.NewHandler(syncer.syncer.Copy))
-	d.metrics = newServer(metrics.NewTextHandler(d.options.Reporter))
+	d.peers = newServer(peercopy.NewHandler(syncer.syncer.Copy), d.options.RequestBudget)
+	d.metrics = newServer(metrics.NewTextHandler(d.options.Reporter), d.options.RequestBudget)
 	return nil
 }
 
-// newServer returns a server for peers or operators, whose requests are short.
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: requestTimeout, ReadTimeout: requestTimeout, MaxHeaderBytes: boundedhttp.MaxHeaderBytes,
-	}
-}
-
 func (d *Daemon) newRoster(do.Injector) (*roster.Roster, error) {
 	s := d.Settings()
 	return roster.New(roster.Member{
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -55,8 +55,8 @@
 	dispatcher       *dispatch.Dispatcher
 	callers          CallerServer
 	readiness        ReadinessServer
-	peers            *http.Server
-	metrics          *http.Server
+	peers            *internalServer
+	metrics          *internalServer
 	housekeeper      *housekeeper
 	hints            *stallhint.Notifier
 	guard            *crashguard.Guard
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -55,6 +55,9 @@
 	Pool   *targetpool.Pool
 	// ReadBudget limits the total size of incomplete messages, in bytes.
 	ReadBudget *readbudget.Budget
+	// RequestBudget limits the total size of what is held for callers and for requests at the other interfaces, in bytes. It is
+	// another one than ReadBudget, so that callers cannot make the answers of targets or of the store fail.
+	RequestBudget *readbudget.Budget
 	// Meter counts the bytes sent, by kind.
 	Meter *traffic.Meter
 	// NewCallerServer and NewReadinessServer create the servers of callers and of readiness checks.
--- a/internal/gracefulhttp/conn.go
+++ b/internal/gracefulhttp/conn.go
@@ -64,6 +64,9 @@
 	return c.Conn.Write(p)
 }
 
+// NetConn returns the connection that is tracked.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite ends the stream to the caller. The server uses it before it closes a connection with unread bytes.
 func (c *conn) CloseWrite() error {
 	if x, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/readbudget/budget.go
+++ b/internal/readbudget/budget.go
@@ -44,6 +44,9 @@
 	return true
 }
 
+// Exceed reserves n bytes even if fewer are left, for a message that exists already.
+func (b *Budget) Exceed(n int64) { b.used.Add(n) }
+
 // Release frees n reserved bytes.
 func (b *Budget) Release(n int64) { b.used.Add(-n) }
 
--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -35,6 +35,9 @@
 	Processor float64 `json:"processor,omitempty"`
 	// Memory is the VM's memory in MiB, or 0 when it is unknown.
 	Memory int `json:"memory,omitempty"`
+	// MaxConnections is the number of callers' connections that the daemon keeps open, or 0 for as many as its memory and
+	// its descriptors allow.
+	MaxConnections int `json:"maxConnections,omitempty"`
 	// Callers, Readiness, Peers and Metrics are the TCP addresses to listen on. Gossip is the UDP address.
 	Callers   string `json:"callers"`
 	Readiness string `json:"readiness"`
@@ -119,6 +122,7 @@
 	v.name("$.availabilityZone", e.AvailabilityZone)
 	v.nonNegative("$.processor", e.Processor)
 	v.nonNegative("$.memory", float64(e.Memory))
+	v.nonNegative("$.maxConnections", float64(e.MaxConnections))
 	v.nonNegative("$.holdersFrom", float64(e.HoldersFrom))
 	v.address("$.callers", e.Callers)
 	v.address("$.readiness", e.Readiness)
