--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -177,8 +177,7 @@
 }
 
 // evict closes the connections that have stalled for the longest time and returns how many, 0 within scanInterval of the latest
-// scan. For memory, only those that
-// hold some count, and an idle connection holds none.
+// scan. For memory, only those that hold some count, and an idle connection holds none.
 func (g *Guard) evict(forMemory bool) int {
 	g.scan.Lock()
 	defer g.scan.Unlock()
--- a/internal/entry/permits.go
+++ b/internal/entry/permits.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// assignIssuers assigns the targets that have rate limits and the accounts that have quotas to issuers among the settled daemons, or among all serving ones
-// if none is settled yet. recent is the number of daemons that were alive recently.
+// assignIssuers assigns the targets that have rate limits and the accounts that have quotas to issuers among the settled daemons,
+// or among all serving ones if none is settled yet. recent is the number of daemons that were alive recently.
 func (d *Daemon) assignIssuers(serving []roster.Member, recent int) {
 	settled := lo.Filter(serving, func(m roster.Member, _ int) bool { return m.Settled })
 	if len(settled) == 0 {
