--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -187,7 +187,12 @@
 					}
 				}
 				require.IsType(t, c.want, answer)
-				requireSends(t, c.sends, len(x.sender.Calls()))
+				if _, full := c.want.(dispatch.NotRun); full {
+					// Full targets are tried again until the deadline.
+					require.GreaterOrEqual(t, len(x.sender.Calls()), c.sends)
+				} else {
+					require.Len(t, x.sender.Calls(), c.sends)
+				}
 				for _, call := range x.sender.Calls() {
 					require.Equal(t, c.account, call.Request.Account)
 					require.Equal(t, c.identity+"1", call.Request.Header.Get("X-Id")+call.Request.Header.Get("X-Own"))
@@ -258,12 +263,3 @@
 		x.pool.Close()
 	})
 }
-
-// requireSends requires the exact number of sends, or at least as many if full targets are tried again until the deadline.
-func requireSends(t *testing.T, want, got int) {
-	if want > 1 {
-		require.GreaterOrEqual(t, got, want)
-		return
-	}
-	require.Equal(t, want, got)
-}
