--- /dev/null
+++ b/review/_probe/fleet.go
@@ -0,0 +1,278 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/knapweedpoint/knapweedpoint/internal/loopback"
+	"github.com/knapweedpoint/knapweedpoint/platform/fakestore"
+)
+
+// Figures of the site file that all cases name.
+const (
+	program     = "target/knapweedpoint"
+	heartbeat   = 1200 * time.Millisecond
+	grace       = 6 * time.Second
+	configBound = 3 * time.Second
+	memoryMiB   = 206
+)
+
+// zones holds the zones of the site with the number of machines in each.
+var zones = []struct {
+	name     string
+	machines int
+}{{"bzh-west-a", 7}, {"bzh-west-b", 4}, {"bzh-west-c", 4}}
+
+// daemon is one entry process.
+type daemon struct {
+	name, zone, ip, file string
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	exited  chan struct{}
+}
+
+func (d *daemon) callers() string { return d.ip + ":8104" }
+
+// fleet is the store, the daemons and the replicas of one run.
+type fleet struct {
+	dir      string
+	network  *loopback.Network
+	store    *fakestore.Store
+	server   *http.Server
+	address  string
+	daemons  []*daemon
+	replicas []*replica
+	log      *record
+	stop     chan struct{}
+	group    sync.WaitGroup
+
+	mu      sync.Mutex
+	version int
+	ready   map[*daemon]bool
+}
+
+func newFleet(log *record) (*fleet, error) {
+	dir, err := os.MkdirTemp("", "review-probe-")
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{dir: dir, store: &fakestore.Store{PageSize: 500}, log: log, stop: make(chan struct{}), ready: map[*daemon]bool{}}
+	if f.network, err = loopback.Reserve(); err != nil {
+		return f, err
+	}
+	l, err := net.Listen("tcp4", f.network.Host(0)+":0")
+	if err != nil {
+		return f, err
+	}
+	f.address = l.Addr().String()
+	f.server = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Second}
+	f.group.Add(1)
+	go func() { defer f.group.Done(); _ = f.server.Serve(l) }()
+	return f, nil
+}
+
+// publish writes the next version of the configuration.
+func (f *fleet) publish(document map[string]any) {
+	f.mu.Lock()
+	f.version += 3
+	document["version"] = f.version
+	f.mu.Unlock()
+	data, err := json.Marshal(document)
+	if err != nil {
+		panic(err)
+	}
+	f.store.Put("op/config", data)
+	f.log.printf("config version=%v", document["version"])
+}
+
+// settings returns the file that deploy/entry.json.tmpl renders for a daemon with the bounds of the site.
+func (f *fleet) settings(d *daemon, seeds []string, firstStart bool) map[string]any {
+	return map[string]any{
+		"name": d.name, "availabilityZone": d.zone, "processor": 0.272, "memory": memoryMiB,
+		"callers": d.callers(), "readiness": d.ip + ":8108", "peers": d.ip + ":8106", "metrics": d.ip + ":9102", "gossip": d.ip + ":7380",
+		"seeds": seeds, "store": f.address, "firstStart": firstStart,
+		"overload": map[string]any{"learnCapacity": true, "queueCalls": true, "refuseLate": true},
+		"rules": map[string]any{
+			"retryRatio": 0.2, "retrySlack": 116, "retryWindow": "10s", "coldOvershoot": 1.5, "coldSlack": 5,
+			"drainBound": "3000ms", "grace": "6s", "heartbeat": "1200ms",
+		},
+	}
+}
+
+// startDaemons starts as many machines as the site has, or one in so many.
+func (f *fleet) startDaemons(oneIn int) error {
+	index := 1
+	for _, z := range zones {
+		for i := range (z.machines + oneIn - 1) / oneIn {
+			f.daemons = append(f.daemons, &daemon{name: fmt.Sprintf("front-%s-%d", z.name, i+1), zone: z.name, ip: f.network.Host(index)})
+			index++
+		}
+	}
+	seeds := []string{}
+	for _, d := range f.daemons[:min(3, len(f.daemons))] {
+		seeds = append(seeds, d.ip+":8106")
+	}
+	for _, d := range f.daemons {
+		d.file = filepath.Join(f.dir, d.name+".json")
+		data, _ := json.Marshal(f.settings(d, seeds, true))
+		if err := os.WriteFile(d.file, data, 0o600); err != nil {
+			return err
+		}
+		if err := f.start(d); err != nil {
+			return err
+		}
+	}
+	deadline := time.Now().Add(15 * time.Second)
+	for _, d := range f.daemons {
+		for !isReady(d) {
+			if time.Now().After(deadline) {
+				return fmt.Errorf("%s did not become ready", d.name)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		f.setReady(d, true)
+	}
+	f.group.Add(1)
+	go func() { defer f.group.Done(); f.balance() }()
+	return nil
+}
+
+// start starts the process of a daemon with the command of the deploy file.
+func (f *fleet) start(d *daemon) error {
+	out, err := os.OpenFile(filepath.Join(f.dir, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = out.Close() }()
+	c := exec.Command(program, "entry", "--settings", d.file)
+	c.Stdout, c.Stderr = out, out
+	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.dir}
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := c.Start(); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.process, d.exited = c, make(chan struct{})
+	exited := d.exited
+	d.mu.Unlock()
+	f.log.printf("daemon start name=%s pid=%d", d.name, c.Process.Pid)
+	f.group.Add(1)
+	go func() {
+		defer f.group.Done()
+		err := c.Wait()
+		f.log.printf("daemon end name=%s pid=%d result=%v", d.name, c.Process.Pid, err)
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process of a daemon.
+func (f *fleet) signal(d *daemon, s syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f.log.printf("daemon signal name=%s signal=%s", d.name, s)
+	_ = d.process.Process.Signal(s)
+}
+
+func (f *fleet) setReady(d *daemon, ready bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ready[d] = ready
+}
+
+func isReady(d *daemon) bool {
+	c := http.Client{Timeout: time.Second}
+	r, err := c.Get("http://" + d.ip + ":8108/-/ready")
+	if err != nil {
+		return false
+	}
+	_ = r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+// balance asks each daemon once a second whether it is ready. Two misses take it out.
+func (f *fleet) balance() {
+	misses := map[*daemon]int{}
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-f.stop:
+			return
+		case <-tick.C:
+		}
+		var asked sync.WaitGroup
+		var mu sync.Mutex
+		for _, d := range f.daemons {
+			asked.Add(1)
+			go func() {
+				defer asked.Done()
+				ok := isReady(d)
+				mu.Lock()
+				defer mu.Unlock()
+				if misses[d]++; ok {
+					misses[d] = 0
+				}
+				f.setReady(d, misses[d] < 2)
+			}()
+		}
+		asked.Wait()
+	}
+}
+
+// pick returns the daemon that the balancer chooses for a client: by a hash among the ready ones of its zone, or of all.
+func (f *fleet) pick(zone string, hash int) *daemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var near, far []*daemon
+	for _, d := range f.daemons {
+		switch {
+		case !f.ready[d]:
+		case d.zone == zone:
+			near = append(near, d)
+		default:
+			far = append(far, d)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		near = f.daemons
+	}
+	return near[hash%len(near)]
+}
+
+// close ends all processes that were started and removes the folder.
+func (f *fleet) close() {
+	close(f.stop)
+	for _, d := range f.daemons {
+		if d.process != nil {
+			_ = d.process.Process.Signal(syscall.SIGCONT)
+			_ = d.process.Process.Kill()
+			<-d.exited
+		}
+	}
+	for _, r := range f.replicas {
+		r.close()
+	}
+	if f.server != nil {
+		_ = f.server.Close()
+	}
+	f.group.Wait()
+	if f.network != nil {
+		_ = f.network.Close()
+	}
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(f.dir)
+	}
+}
