--- a/review/_probe/check.go
+++ b/review/_probe/check.go
@@ -41,6 +41,9 @@
 				out = append(out, finding{"REFUSED", fmt.Sprintf("id=%s answered %d by %s and ran at %s", a.id, a.status, a.daemon, rs[0].replica)})
 			}
 		case http.StatusOK:
+			if a.class == "lot" {
+				continue
+			}
 			if text := cs.wrong(a, rs); text != "" {
 				out = append(out, finding{"MIXED", fmt.Sprintf("id=%s %s", a.id, text)})
 			}
@@ -56,10 +59,8 @@
 		if given != stamp(r.replica, a.id) {
 			continue
 		}
-		for _, x := range cs.fleet.replicas {
-			if x.id == r.replica && !bytes.Equal(a.answer, records(x.service, a.path, a.id)) {
-				return "has a body that is not the replica's"
-			}
+		if !bytes.Equal(a.answer, records(r.service, a.path, a.id)) {
+			return "has a body that is not the replica's"
 		}
 		return ""
 	}
--- a/review/_probe/client.go
+++ b/review/_probe/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,9 @@
 	deadline                   time.Duration
 	perSecond                  float64
 	retries                    int
+	// long is the length of the longest bodies; leave is the share of the attempts that the client gives up early.
+	long  int
+	leave float64
 }
 
 // clients are the clients of one run.
@@ -94,6 +98,9 @@
 	path, body := fmt.Sprintf("%s%x", k.prefix, n), ""
 	if k.method == http.MethodPost {
 		body = fmt.Sprintf("{\"lot\":%d}", n)
+		if k.long > 0 && rand.IntN(3) == 0 {
+			body += strings.Repeat(fmt.Sprintf(" %d", n), rand.IntN(k.long)/8)
+		}
 	}
 	for try := 0; ; try++ {
 		left := time.Until(until)
@@ -133,6 +140,9 @@
 		fmt.Fprintf(&b, "Content-Type: application/json\r\nContent-Length: %d\r\n", len(a.body))
 	}
 	b.WriteString("\r\n" + a.body)
+	if k.leave > 0 && rand.Float64() < k.leave {
+		left = time.Duration(rand.Float64() * float64(left) / 10)
+	}
 	_ = x.SetDeadline(a.sentAt.Add(left))
 	defer func() { a.endedAt = time.Now() }()
 	if _, err := x.Write(b.Bytes()); err != nil {
--- a/review/_probe/extra.go
+++ b/review/_probe/extra.go
@@ -12,7 +12,7 @@
 // Figures of the case extra.
 const (
 	// extraServices is the number of services, each with two replicas, as the shards of the site have.
-	extraServices = 10
+	extraServices = 14
 	// extraBurst is how many requests to a service come together, each second: more than its replicas can hold at once.
 	extraBurst = 14
 	// extraShare and extraLength are the dose of the trouble: this share of the answers of one of the two replicas of each service
--- a/review/_probe/fleet.go
+++ b/review/_probe/fleet.go
@@ -35,6 +35,7 @@
 type daemon struct {
 	name, zone, ip, file string
 
+	busy    sync.Mutex
 	mu      sync.Mutex
 	process *exec.Cmd
 	exited  chan struct{}
--- a/review/_probe/main.go
+++ b/review/_probe/main.go
@@ -3,22 +3,22 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"os/signal"
-	"strconv"
 	"syscall"
 	"time"
 )
 
-// probeCase is one case: the rule that it tries to break, and what it does.
+// probeCase is one case: the rule that it tries to break, any if it is empty, and what it does.
 type probeCase struct {
 	rule string
 	run  func(f *fleet, trouble bool) ([]finding, error)
 }
 
-var cases = map[string]probeCase{"extra": {rule: "TWICE", run: extra}, "cold": {rule: "FAILBACK", run: cold}}
+var cases = map[string]probeCase{"extra": {rule: "TWICE", run: extra}, "mix": {run: mix}, "cold": {rule: "FAILBACK", run: cold}}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]].run == nil {
@@ -36,13 +36,13 @@
 	findings, err := play(log, c.run, trouble)
 	broken := 0
 	for _, f := range findings {
-		if f.rule == c.rule {
+		if c.rule == "" || f.rule == c.rule {
 			broken++
 		}
 		log.printf("BROKEN %s %s", f.rule, f.text)
 		fmt.Println(f.rule, f.text)
 	}
-	fmt.Printf("%s broken %d times\n", c.rule, broken)
+	fmt.Printf("%s broken %d times\n", cmp.Or(c.rule, "any rule"), broken)
 	if err != nil {
 		log.printf("could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
@@ -87,10 +87,3 @@
 func spread(mean time.Duration) func() time.Duration {
 	return func() time.Duration { return time.Duration(float64(mean) * (0.5 + rand.Float64())) }
 }
-
-func env(name string, otherwise int) int {
-	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
-		return n
-	}
-	return otherwise
-}
--- a/review/_probe/replica.go
+++ b/review/_probe/replica.go
@@ -17,8 +17,8 @@
 
 // run is one request that a replica began to work on.
 type run struct {
-	id, method, path, body, replica string
-	at                              time.Time
+	id, method, path, body, replica, service string
+	at                                       time.Time
 }
 
 // replica is a server of one service. It follows the platform's protocol: a number of slots, a short queue, and a refusal that
@@ -44,6 +44,8 @@
 	down            bool
 	open            map[net.Conn]struct{}
 	late            float64
+	garble          string
+	garbled         float64
 	slow            float64
 	state           string
 	listener        net.Listener
@@ -180,6 +182,12 @@
 	r.late = share
 }
 
+func (r *replica) setGarble(kind string, share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.garble, r.garbled = kind, share
+}
+
 func (r *replica) serve(c net.Conn) {
 	defer func() {
 		_ = c.Close()
@@ -196,11 +204,23 @@
 		if err != nil {
 			return
 		}
+		id := q.Header.Get("X-Request-Id")
+		r.mu.Lock()
+		early := r.garble == "early" && q.ContentLength > 0 && rand.Float64() < r.garbled
+		r.mu.Unlock()
+		if early {
+			if _, err := c.Write(r.refuse(id, "503 Service Unavailable")); err != nil {
+				return
+			}
+			time.Sleep(time.Duration(rand.IntN(30)) * time.Millisecond)
+		}
 		body, err := io.ReadAll(q.Body)
 		if err != nil {
 			return
 		}
-		id := q.Header.Get("X-Request-Id")
+		if early {
+			continue
+		}
 		if extra != nil {
 			// The second copy of an earlier answer arrives where the next answer is expected.
 			r.log.printf("replica extra id=%s replica=%s before=%s", extraID, r.id, id)
@@ -213,14 +233,45 @@
 		if answer == nil {
 			return
 		}
-		if _, err := c.Write(answer); err != nil {
-			return
-		}
 		r.mu.Lock()
-		if rand.Float64() < r.late {
+		kind := ""
+		if rand.Float64() < r.garbled {
+			kind = r.garble
+		}
+		if rand.Float64() < r.late || kind == "extra" {
 			extra, extraID = answer, id
 		}
 		r.mu.Unlock()
+		switch kind {
+		case "slow":
+			for len(answer) > 0 {
+				n := min(len(answer), 1+rand.IntN(60))
+				if _, err := c.Write(answer[:n]); err != nil {
+					return
+				}
+				answer = answer[n:]
+				time.Sleep(time.Duration(rand.IntN(3)) * time.Millisecond)
+			}
+			continue
+		case "cut":
+			_, _ = c.Write(answer[:rand.IntN(len(answer))])
+			return
+		case "lost":
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		case "junk":
+			answer = append(answer, answer[:rand.IntN(len(answer))]...)
+		case "unframed":
+			if i := bytes.Index(answer, []byte("Content-Length: ")); bytes.HasPrefix(answer, []byte("HTTP/1.1 200")) {
+				j := i + bytes.Index(answer[i:], []byte("\r\n")) + 2
+				answer = append(append([]byte{}, answer[:i]...), answer[j:]...)
+				_, _ = c.Write(answer)
+				return
+			}
+		}
+		if _, err := c.Write(answer); err != nil {
+			return
+		}
 	}
 }
 
@@ -262,7 +313,7 @@
 	r.mu.Unlock()
 	defer func() { r.mu.Lock(); r.running--; r.mu.Unlock() }()
 	r.log.printf("run id=%s replica=%s method=%s path=%s", id, r.id, q.Method, q.RequestURI)
-	r.runs.add(run{id: id, method: q.Method, path: q.RequestURI, body: body, replica: r.id, at: time.Now()})
+	r.runs.add(run{id: id, method: q.Method, path: q.RequestURI, body: body, replica: r.id, service: r.service, at: time.Now()})
 	select {
 	case <-time.After(time.Duration(slow * float64(r.work()))):
 	case <-done:
