--- a/review/_probe/fleet.go
+++ b/review/_probe/fleet.go
@@ -18,11 +18,10 @@
 
 // Figures of the site file that all cases name.
 const (
-	program     = "target/knapweedpoint"
-	heartbeat   = 1200 * time.Millisecond
-	grace       = 6 * time.Second
-	configBound = 3 * time.Second
-	memoryMiB   = 206
+	program   = "target/knapweedpoint"
+	heartbeat = 1200 * time.Millisecond
+	grace     = 6 * time.Second
+	memoryMiB = 206
 )
 
 // zones holds the zones of the site with the number of machines in each.
@@ -109,13 +108,13 @@
 	}
 }
 
-// startDaemons starts as many machines as the site has, or one in so many.
-func (f *fleet) startDaemons(oneIn int) error {
-	index := 1
-	for _, z := range zones {
-		for i := range (z.machines + oneIn - 1) / oneIn {
-			f.daemons = append(f.daemons, &daemon{name: fmt.Sprintf("front-%s-%d", z.name, i+1), zone: z.name, ip: f.network.Host(index)})
-			index++
+// startDaemons starts so many machines of the site, one of each zone in turn, and waits until they are ready.
+func (f *fleet) startDaemons(n int) error {
+	for i := 0; len(f.daemons) < n; i++ {
+		for _, z := range zones {
+			if i < z.machines && len(f.daemons) < n {
+				f.daemons = append(f.daemons, &daemon{name: fmt.Sprintf("front-%s-%d", z.name, i+1), zone: z.name, ip: f.network.Host(len(f.daemons) + 1)})
+			}
 		}
 	}
 	seeds := []string{}
--- a/review/_probe/main.go
+++ b/review/_probe/main.go
@@ -18,7 +18,13 @@
 	run  func(f *fleet, trouble bool) ([]finding, error)
 }
 
-var cases = map[string]probeCase{"extra": {rule: "TWICE", run: extra}, "mix": {run: mix}, "cold": {rule: "FAILBACK", run: cold}}
+var cases = map[string]probeCase{
+	"gone":    {rule: "DRAIN", run: gone},
+	"silent":  {rule: "CONFIG", run: silent},
+	"mix":     {run: mix},
+	"roll":    {rule: "LOST", run: roll},
+	"gathers": {run: gathers},
+}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]].run == nil {
--- a/review/_probe/mix.go
+++ b/review/_probe/mix.go
@@ -52,7 +52,7 @@
 		}
 	}
 	f.publish(document("single", gather))
-	if err := f.startDaemons(1); err != nil {
+	if err := f.startDaemons(15); err != nil {
 		return nil, err
 	}
 	cs := &clients{fleet: f}
@@ -83,7 +83,7 @@
 						r.id = fmt.Sprintf("i-%s-n-%x", r.service, rand.Uint32())
 						r.mu.Unlock()
 					}
-					_ = r.start(f, 0)
+					_ = r.start(f)
 				}
 			case 3, 4:
 				d := f.daemons[rand.IntN(len(f.daemons))]
--- a/review/_probe/replica.go
+++ b/review/_probe/replica.go
@@ -36,22 +36,18 @@
 	waiting int
 	born    int64
 	address string
-	coldEnd time.Time
-	// arrivals are the requests that came while the replica was cold; overloads counts the crashes for too many of them, lost the
-	// requests that were at work then.
-	arrivals        []time.Time
-	overloads, lost int
-	down            bool
-	open            map[net.Conn]struct{}
-	late            float64
-	garble          string
-	garbled         float64
-	slow            float64
-	state           string
-	listener        net.Listener
-	slot            chan struct{}
-	done            chan struct{}
-	group           sync.WaitGroup
+	down    bool
+	// left is set once the entry is removed; arrivals are the requests that came, by their ids.
+	left     bool
+	arrivals map[string]time.Time
+	open     map[net.Conn]struct{}
+	garble   string
+	garbled  float64
+	slow     float64
+	listener net.Listener
+	slot     chan struct{}
+	done     chan struct{}
+	group    sync.WaitGroup
 }
 
 // runs holds what all replicas have run.
@@ -80,39 +76,36 @@
 func (f *fleet) addReplica(r *replica) error {
 	f.replicas = append(f.replicas, r)
 	r.log, r.address = f.log, f.network.Host(100)+":0"
-	return r.start(f, 0)
+	return r.start(f)
 }
 
-// start starts the replica's process, cold for the given time.
-func (r *replica) start(f *fleet, cold time.Duration) error {
+// start starts the replica's process.
+func (r *replica) start(f *fleet) error {
 	l, err := net.Listen("tcp4", r.address)
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
 	r.down = false
-	r.address, r.listener, r.state, r.born, r.coldEnd = l.Addr().String(), l, "ready", time.Now().UnixMilli(), time.Now().Add(cold)
+	r.address, r.listener, r.born = l.Addr().String(), l, time.Now().UnixMilli()
 	r.open, r.slot, r.done, r.running, r.waiting = map[net.Conn]struct{}{}, make(chan struct{}, r.slots), make(chan struct{}), 0, 0
 	done := r.done
 	r.mu.Unlock()
-	f.log.printf("replica start id=%s service=%s zone=%s address=%s cold=%s", r.id, r.service, r.zone, l.Addr(), cold)
+	f.log.printf("replica start id=%s service=%s zone=%s address=%s", r.id, r.service, r.zone, l.Addr())
 	r.group.Add(2)
 	go func() { defer r.group.Done(); r.accept(l) }()
 	go func() {
 		defer r.group.Done()
 		for seq := 1; ; seq++ {
 			r.mu.Lock()
-			state := r.state
 			entry, _ := json.Marshal(map[string]any{
-				"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots, "state": state,
-				"warmup-left-ms": max(time.Until(r.coldEnd).Milliseconds(), 0), "seq": seq, "born": r.born,
+				"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots, "state": "ready",
+				"warmup-left-ms": 0, "seq": seq, "born": r.born,
 			})
-			r.mu.Unlock()
-			if state == "gone" {
-				f.store.Remove("servers/" + r.id)
-				return
+			if !r.left {
+				f.store.Put("servers/"+r.id, entry)
 			}
-			f.store.Put("servers/"+r.id, entry)
+			r.mu.Unlock()
 			select {
 			case <-time.After(heartbeat):
 			case <-done:
@@ -123,6 +116,15 @@
 	return nil
 }
 
+// leave removes the replica's entry for good. It goes on serving.
+func (r *replica) leave(f *fleet) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.left = true
+	f.store.Remove("servers/" + r.id)
+	r.log.printf("replica entry removed id=%s", r.id)
+}
+
 // crash ends the replica's process: its connections break and its heartbeats end.
 func (r *replica) crash() {
 	r.mu.Lock()
@@ -174,14 +176,6 @@
 	}
 }
 
-// setLate makes the replica send the given share of its answers a second time, when the next request has arrived on the
-// connection.
-func (r *replica) setLate(share float64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.late = share
-}
-
 func (r *replica) setGarble(kind string, share float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -238,7 +232,7 @@
 		if rand.Float64() < r.garbled {
 			kind = r.garble
 		}
-		if rand.Float64() < r.late || kind == "extra" {
+		if kind == "extra" {
 			extra, extraID = answer, id
 		}
 		r.mu.Unlock()
@@ -282,13 +276,12 @@
 	}
 	r.mu.Lock()
 	slot, done := r.slot, r.done
-	if time.Now().Before(r.coldEnd) {
-		r.arrivals = append(r.arrivals, time.Now())
-		r.log.printf("cold arrival id=%s replica=%s", id, r.id)
-		if n := len(r.arrivals) - coldCrash; n >= 0 && time.Since(r.arrivals[n]) < time.Second && !r.down {
-			r.overloads, r.lost = r.overloads+1, r.lost+r.running+r.waiting
-			r.end()
+	if r.left {
+		if r.arrivals == nil {
+			r.arrivals = map[string]time.Time{}
 		}
+		r.arrivals[id] = time.Now()
+		r.log.printf("arrival after the removal id=%s replica=%s", id, r.id)
 	}
 	if r.down {
 		r.mu.Unlock()
