--- a/review/_probe/client.go
+++ b/review/_probe/client.go
@@ -74,9 +74,7 @@
 			all = append(all, &client{hash: rand.IntN(1 << 30), zone: z.name})
 		}
 	}
-	cs.group.Add(1)
-	go func() {
-		defer cs.group.Done()
+	cs.group.Go(func() {
 		at := time.Now()
 		for {
 			at = at.Add(time.Duration(rand.ExpFloat64() / k.perSecond * float64(time.Second)))
@@ -85,10 +83,9 @@
 			}
 			time.Sleep(time.Until(at))
 			c := all[rand.IntN(len(all))]
-			cs.group.Add(1)
-			go func() { defer cs.group.Done(); cs.request(c, k) }()
+			cs.group.Go(func() { cs.request(c, k) })
 		}
-	}()
+	})
 }
 
 // request sends one request, and again where the protocol allows it.
@@ -194,21 +191,3 @@
 	}
 	return &conn{Conn: raw, in: bufio.NewReader(raw), daemon: d}, nil
 }
-
-// bursts sends so many requests of a class together at each interval until the end.
-func (cs *clients) bursts(k class, size int, interval time.Duration, until time.Time) {
-	var all []*client
-	for i := range 65 {
-		all = append(all, &client{hash: rand.IntN(1 << 30), zone: zones[i%len(zones)].name})
-	}
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
-	for time.Now().Before(until) {
-		for range size {
-			c := all[rand.IntN(len(all))]
-			cs.group.Add(1)
-			go func() { defer cs.group.Done(); cs.request(c, k) }()
-		}
-		<-tick.C
-	}
-}
--- a/review/_probe/fleet.go
+++ b/review/_probe/fleet.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -55,6 +56,9 @@
 	stop     chan struct{}
 	group    sync.WaitGroup
 
+	// lastCall is when the store was called last, in Unix nanoseconds.
+	lastCall atomic.Int64
+
 	mu      sync.Mutex
 	version int
 	ready   map[*daemon]bool
@@ -74,9 +78,12 @@
 		return f, err
 	}
 	f.address = l.Addr().String()
-	f.server = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Second}
-	f.group.Add(1)
-	go func() { defer f.group.Done(); _ = f.server.Serve(l) }()
+	calls := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.lastCall.Store(time.Now().UnixNano())
+		f.store.ServeHTTP(w, r)
+	})
+	f.server = &http.Server{Handler: calls, ReadHeaderTimeout: time.Second}
+	f.group.Go(func() { _ = f.server.Serve(l) })
 	return f, nil
 }
 
@@ -141,8 +148,7 @@
 		}
 		f.setReady(d, true)
 	}
-	f.group.Add(1)
-	go func() { defer f.group.Done(); f.balance() }()
+	f.group.Go(f.balance)
 	return nil
 }
 
@@ -165,13 +171,11 @@
 	exited := d.exited
 	d.mu.Unlock()
 	f.log.printf("daemon start name=%s pid=%d", d.name, c.Process.Pid)
-	f.group.Add(1)
-	go func() {
-		defer f.group.Done()
+	f.group.Go(func() {
 		err := c.Wait()
 		f.log.printf("daemon end name=%s pid=%d result=%v", d.name, c.Process.Pid, err)
 		close(exited)
-	}()
+	})
 	return nil
 }
 
@@ -199,6 +203,15 @@
 	return r.StatusCode == http.StatusOK
 }
 
+// awaitCall waits until the latest call to the store is so old.
+func (f *fleet) awaitCall(age time.Duration) {
+	for limit := time.Now().Add(3 * time.Second); time.Now().Before(limit); time.Sleep(5 * time.Millisecond) {
+		if old := time.Since(time.Unix(0, f.lastCall.Load())); old >= age && old < age+100*time.Millisecond {
+			return
+		}
+	}
+}
+
 // balance asks each daemon once a second whether it is ready. Two misses take it out.
 func (f *fleet) balance() {
 	misses := map[*daemon]int{}
@@ -213,9 +226,7 @@
 		var asked sync.WaitGroup
 		var mu sync.Mutex
 		for _, d := range f.daemons {
-			asked.Add(1)
-			go func() {
-				defer asked.Done()
+			asked.Go(func() {
 				ok := isReady(d)
 				mu.Lock()
 				defer mu.Unlock()
@@ -223,7 +234,7 @@
 					misses[d] = 0
 				}
 				f.setReady(d, misses[d] < 2)
-			}()
+			})
 		}
 		asked.Wait()
 	}
--- a/review/_probe/gathers.go
+++ b/review/_probe/gathers.go
@@ -51,9 +51,7 @@
 	var group sync.WaitGroup
 	for trouble && time.Now().Before(end.Add(-5*time.Second)) {
 		time.Sleep(time.Duration(200+rand.IntN(2500)) * time.Millisecond)
-		group.Add(1)
-		go func() {
-			defer group.Done()
+		group.Go(func() {
 			d := f.daemons[rand.IntN(len(f.daemons))]
 			if !d.busy.TryLock() {
 				return
@@ -75,7 +73,7 @@
 				time.Sleep(time.Duration(100+rand.IntN(1900)) * time.Millisecond)
 				f.signal(d, syscall.SIGCONT)
 			}
-		}()
+		})
 	}
 	group.Wait()
 	cs.group.Wait()
--- a/review/_probe/mix.go
+++ b/review/_probe/mix.go
@@ -64,9 +64,7 @@
 	pick := func() *replica { return f.replicas[rand.IntN(len(f.replicas))] }
 	for trouble && time.Now().Before(end.Add(-5*time.Second)) {
 		time.Sleep(time.Duration(rand.IntN(400)) * time.Millisecond)
-		group.Add(1)
-		go func() {
-			defer group.Done()
+		group.Go(func() {
 			switch rand.IntN(9) {
 			case 0, 1:
 				r := pick()
@@ -125,7 +123,7 @@
 				r.slow = 1
 				r.mu.Unlock()
 			}
-		}()
+		})
 	}
 	group.Wait()
 	cs.group.Wait()
--- a/review/_probe/replica.go
+++ b/review/_probe/replica.go
@@ -92,10 +92,8 @@
 	done := r.done
 	r.mu.Unlock()
 	f.log.printf("replica start id=%s service=%s zone=%s address=%s", r.id, r.service, r.zone, l.Addr())
-	r.group.Add(2)
-	go func() { defer r.group.Done(); r.accept(l) }()
-	go func() {
-		defer r.group.Done()
+	r.group.Go(func() { r.accept(l) })
+	r.group.Go(func() {
 		for seq := 1; ; seq++ {
 			r.mu.Lock()
 			entry, _ := json.Marshal(map[string]any{
@@ -112,7 +110,7 @@
 				return
 			}
 		}
-	}()
+	})
 	return nil
 }
 
@@ -171,8 +169,7 @@
 			_ = c.Close()
 			continue
 		}
-		r.group.Add(1)
-		go func() { defer r.group.Done(); r.serve(c) }()
+		r.group.Go(func() { r.serve(c) })
 	}
 }
 
--- a/review/_probe/roll.go
+++ b/review/_probe/roll.go
@@ -52,9 +52,7 @@
 	for trouble && time.Now().Before(end.Add(-12*time.Second)) {
 		for _, d := range f.daemons {
 			time.Sleep(time.Second)
-			group.Add(1)
-			go func() {
-				defer group.Done()
+			group.Go(func() {
 				if !d.busy.TryLock() {
 					return
 				}
@@ -68,7 +66,7 @@
 				}
 				time.Sleep(500 * time.Millisecond)
 				_ = f.start(d)
-			}()
+			})
 		}
 	}
 	group.Wait()
--- a/review/_probe/silent.go
+++ b/review/_probe/silent.go
@@ -9,6 +9,14 @@
 	"github.com/knapweedpoint/knapweedpoint/platform/fakestore"
 )
 
+// Figures of the case silent alone.
+const (
+	configRounds = 8
+	configRound  = 12700 * time.Millisecond
+	// configPhase is how old the latest read of the store is when it falls silent: the daemons' reads then hang at its return.
+	configPhase = 500 * time.Millisecond
+)
+
 // silent: the platform's store answers nothing for some seconds, and the configuration changes when it is back.
 func silent(f *fleet, trouble bool) ([]finding, error) {
 	var all runs
@@ -30,7 +38,7 @@
 	}
 	cs := &clients{fleet: f}
 	begin := time.Now()
-	end := begin.Add(silentRounds*silentRound + 2*time.Second)
+	end := begin.Add(configRounds*configRound + 4*time.Second)
 	cs.load(class{
 		name: "grower-file", method: http.MethodGet, host: "grower.example", prefix: "/file/", idempotent: true,
 		deadline: 2500 * time.Millisecond, perSecond: 40, retries: 1,
@@ -41,8 +49,9 @@
 		service  string
 	}
 	var judged []period
-	for i := range silentRounds {
-		time.Sleep(time.Until(begin.Add(2*time.Second + time.Duration(i)*silentRound)))
+	for i := range configRounds {
+		time.Sleep(time.Until(begin.Add(2*time.Second + time.Duration(i)*configRound)))
+		f.awaitCall(configPhase)
 		if trouble {
 			f.log.printf("store silent")
 			f.store.SetFault(fakestore.Unresponsive{})
@@ -58,7 +67,7 @@
 		if after := time.Now().Add(silentApply + silentSlack); after.After(from) {
 			from = after
 		}
-		judged = append(judged, period{from: from, to: begin.Add(2*time.Second + time.Duration(i+1)*silentRound), service: service})
+		judged = append(judged, period{from: from, to: begin.Add(2*time.Second + time.Duration(i+1)*configRound), service: service})
 	}
 	time.Sleep(time.Until(end))
 	cs.group.Wait()
