--- a/review/_probe/main.go
+++ b/review/_probe/main.go
@@ -22,6 +22,7 @@
 	"gone":    {rule: "DRAIN", run: gone},
 	"silent":  {rule: "CONFIG", run: silent},
 	"mix":     {run: mix},
+	"junk":    {run: junk},
 	"roll":    {rule: "LOST", run: roll},
 	"gathers": {run: gathers},
 }
