--- a/review/_probe/silent.go
+++ b/review/_probe/silent.go
@@ -33,7 +33,7 @@
 		}
 	}
 	f.publish(fileDocument("idempotent", services[0]))
-	if err := f.startDaemons(2); err != nil {
+	if err := f.startDaemons(1); err != nil {
 		return nil, err
 	}
 	cs := &clients{fleet: f}
