--- a/review/_probe/fleet.go
+++ b/review/_probe/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -9,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -55,6 +57,9 @@
 	stop     chan struct{}
 	group    sync.WaitGroup
 
+	// silent is set while the store answers nothing. Nothing is written to it then.
+	silent atomic.Bool
+
 	mu      sync.Mutex
 	version int
 	ready   map[*daemon]bool
@@ -74,11 +79,43 @@
 		return f, err
 	}
 	f.address = l.Addr().String()
-	f.server = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Second}
+	f.server = &http.Server{Handler: http.HandlerFunc(f.serveStore), ReadHeaderTimeout: time.Second}
 	f.group.Go(func() { _ = f.server.Serve(l) })
 	return f, nil
 }
 
+// serveStore answers a call to the store. While the store is silent, it answers nothing, also not to the calls that wait.
+func (f *fleet) serveStore(w http.ResponseWriter, r *http.Request) {
+	if f.silent.Load() {
+		<-r.Context().Done()
+		return
+	}
+	f.store.ServeHTTP(storeWriter{ResponseWriter: w, f: f, ctx: r.Context()}, r)
+}
+
+// storeWriter leaves out the header of restored stores, which the pages in force do not have.
+type storeWriter struct {
+	http.ResponseWriter
+	f   *fleet
+	ctx context.Context
+}
+
+// WriteHeader writes the status.
+func (w storeWriter) WriteHeader(status int) {
+	w.Header().Del("Store-Era")
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the answer, or nothing if the store has fallen silent.
+func (w storeWriter) Write(p []byte) (int, error) {
+	if w.f.silent.Load() {
+		<-w.ctx.Done()
+		return 0, w.ctx.Err()
+	}
+	w.Header().Del("Store-Era")
+	return w.ResponseWriter.Write(p)
+}
+
 // publish writes the next version of the configuration.
 func (f *fleet) publish(document map[string]any) {
 	f.mu.Lock()
--- a/review/_probe/gone.go
+++ b/review/_probe/gone.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"net/http"
 	"time"
-
-	"github.com/knapweedpoint/knapweedpoint/platform/fakestore"
 )
 
 // Figures of the cases gone and silent.
@@ -21,6 +19,8 @@
 	silentApply = 3 * time.Second
 	// silentSlack is added to each bound, for the time between an event and the record of it.
 	silentSlack = 100 * time.Millisecond
+	// silentWarmup is warmup-s.
+	silentWarmup = 3 * time.Second
 	// leaveBefore is how long before the store falls silent a replica leaves, leaveServes how long it serves after that.
 	leaveBefore = 20 * time.Millisecond
 	leaveServes = 15 * time.Second
@@ -29,12 +29,12 @@
 // gone: a replica leaves without saying so first, just before the platform's store answers nothing for some seconds.
 func gone(f *fleet, trouble bool) ([]finding, error) {
 	var all runs
-	next := 0
+	next, warmAt := 0, time.Time{}
 	add := func() error {
 		next++
 		return f.addReplica(&replica{
 			id: fmt.Sprintf("i-%06x", 0x7f3a00+next), service: "growerfolio", zone: zones[next%len(zones)].name, slots: 3, queue: 12, connections: 84,
-			work: spread(60 * time.Millisecond), runs: &all,
+			work: spread(60 * time.Millisecond), runs: &all, warmAt: warmAt,
 		})
 	}
 	for range 5 {
@@ -52,7 +52,7 @@
 	cs.load(class{
 		name: "grower-file", method: http.MethodPost, host: "grower.example", prefix: "/file/", deadline: 2500 * time.Millisecond, perSecond: 22, retries: 1,
 	}, 22, end)
-	from := map[*replica]time.Time{}
+	from, to := map[*replica]time.Time{}, map[*replica]time.Time{}
 	for i := range silentRounds {
 		time.Sleep(time.Until(begin.Add(time.Duration(i) * silentRound)))
 		r := f.replicas[i]
@@ -60,14 +60,17 @@
 		time.Sleep(leaveBefore)
 		if trouble {
 			f.log.printf("store silent")
-			f.store.SetFault(fakestore.Unresponsive{})
+			f.silent.Store(true)
 		}
 		time.Sleep(silentFor)
-		f.store.SetFault(nil)
+		f.silent.Store(false)
 		f.log.printf("store back")
+		// From the next outage on, no machine is in touch.
+		to[r] = begin.Add(time.Duration(i+1) * silentRound)
 		from[r] = time.Now().Add(silentContact + silentSlack)
 		time.AfterFunc(leaveServes-silentFor, r.crash)
 		time.Sleep(time.Until(begin.Add(time.Duration(i+1)*silentRound - 2*time.Second)))
+		warmAt = time.Now().Add(silentWarmup)
 		if err := add(); err != nil {
 			return nil, err
 		}
@@ -83,7 +86,7 @@
 		late, last, lost := 0, time.Duration(0), 0
 		for id, at := range r.arrivals {
 			a := sent[id]
-			if a == nil || a.sentAt.Before(from[r]) {
+			if a == nil || a.sentAt.Before(from[r]) || !at.Before(to[r]) {
 				continue
 			}
 			late++
--- a/review/_probe/replica.go
+++ b/review/_probe/replica.go
@@ -37,6 +37,8 @@
 	born    int64
 	address string
 	down    bool
+	// warmAt is when the replica is warm; it is zero for one that started before the traffic.
+	warmAt time.Time
 	// left is set once the entry is removed; arrivals are the requests that came, by their ids.
 	left     bool
 	arrivals map[string]time.Time
@@ -98,9 +100,9 @@
 			r.mu.Lock()
 			entry, _ := json.Marshal(map[string]any{
 				"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots, "state": "ready",
-				"warmup-left-ms": 0, "seq": seq, "born": r.born,
+				"warmup-left-ms": max(time.Until(r.warmAt).Milliseconds(), 0), "seq": seq, "born": r.born,
 			})
-			if !r.left {
+			if !r.left && !f.silent.Load() {
 				f.store.Put("servers/"+r.id, entry)
 			}
 			r.mu.Unlock()
@@ -260,7 +262,7 @@
 				return
 			}
 		}
-		if _, err := c.Write(answer); err != nil {
+		if _, err := c.Write(answer); err != nil || bytes.Contains(answer, []byte("\r\nConnection: close\r\n")) {
 			return
 		}
 	}
@@ -325,7 +327,11 @@
 func (r *replica) load() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return fmt.Sprintf("X-Server-Load: %d,%d,%d\r\n", r.running, r.waiting, r.slots)
+	out := fmt.Sprintf("X-Server-Load: %d,%d,%d\r\n", r.running, r.waiting, r.slots)
+	if r.left {
+		out += "Connection: close\r\n"
+	}
+	return out
 }
 
 // close ends the replica and waits for its goroutines.
--- a/review/_probe/silent.go
+++ b/review/_probe/silent.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"net/http"
 	"time"
-
-	"github.com/knapweedpoint/knapweedpoint/platform/fakestore"
 )
 
 // Figures of the case silent alone.
@@ -51,10 +49,10 @@
 		time.Sleep(time.Until(begin.Add(2*time.Second + time.Duration(i)*configRound)))
 		if trouble {
 			f.log.printf("store silent")
-			f.store.SetFault(fakestore.Unresponsive{})
+			f.silent.Store(true)
 		}
 		time.Sleep(silentFor)
-		f.store.SetFault(nil)
+		f.silent.Store(false)
 		back := time.Now()
 		f.log.printf("store back")
 		time.Sleep(200 * time.Millisecond)
