Fake store: a renewal does not undo a change

A renewal wrote the entry as it was when the round began, so that a change published at the same moment was lost.

--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -77,6 +77,11 @@
 func (s *store) put(t inventory.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.write(t)
+}
+
+// write puts an entry. The caller holds mu.
+func (s *store) write(t inventory.Target) {
 	s.revision++
 	t.Revision = s.revision
 	s.targets[t.ID] = t
@@ -134,20 +139,24 @@
 func (s *store) renewEntries(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.mu.Lock()
-		ts := lo.Values(s.targets)
+		ids := lo.Keys(s.targets)
 		s.mu.Unlock()
-		for _, t := range ts {
-			s.mu.Lock()
-			_, live := s.targets[t.ID]
-			s.mu.Unlock()
-			if live {
-				s.put(t)
-			}
+		for _, id := range ids {
+			s.renew(id)
 		}
 		time.Sleep(heartbeat)
 	}
 }
 
+// renew writes an entry as it is, unless it was removed.
+func (s *store) renew(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t, live := s.targets[id]; live {
+		s.write(t)
+	}
+}
+
 // storeClient is one daemon's connection to the store.
 type storeClient struct {
 	store  *store
