Read the store at fixed intervals while it is lost, beside reads that hang

Cause: a read could hang for 3.2 s, since its timeout doubled with each failure, and a backoff of up to 3 s followed, so the next read came up to 6 s after the store's return; a silent store never answers the calls of its silence. The same loop dropped retained targets, so these waited for the hanging read or for the next one as well. Ruled out: a dead connection, since a call that is cancelled closes its connection and the next one dials.

Change: a read schedule. While a call that began after the copy's latest news is unanswered, reads begin at fixed intervals (0.4 s at the reader, 0.8 s at its two fallbacks, 1.5 s at the others) beside the one in progress, which may be waiting for a slow store; at most two are in progress. Peers' news ends the backoff and abandons what hangs. Retained targets are dropped when their time is up.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -141,6 +141,14 @@
 	return i.With(i.Revision, expired)
 }
 
+// NextExpiry returns when the next retained target expires, or false if none is retained.
+func (i Inventory) NextExpiry() (time.Time, bool) {
+	if len(i.retained) == 0 {
+		return time.Time{}, false
+	}
+	return slices.MinFunc(slices.Collect(maps.Values(i.retained)), time.Time.Compare), true
+}
+
 // Retained reports whether the target's entry was removed and the target is only retained for a limited time.
 func (i Inventory) Retained(id string) bool {
 	_, ok := i.retained[id]
--- a/internal/storesync/apply.go
+++ b/internal/storesync/apply.go
@@ -32,6 +32,7 @@
 	d.Targets = significantChanges(before.Inventory, d.Targets)
 	if stale || before.ReadAt.IsZero() || fromStore && s.storeLost {
 		s.recovered = now
+		s.schedule.endBackoff()
 	}
 	switch {
 	case d.Era != before.Inventory.Era:
@@ -51,7 +52,8 @@
 	if after.ConfigurationRevision >= d.ConfigurationsAfter {
 		after = after.WithConfigurationRead(d.Revision, readAt)
 	}
-	s.cancelHangingRead(after.CompleteAt())
+	// A peer has read the store since these reads began, so they hang.
+	s.schedule.abandonBefore(after.CompleteAt().Add(-callTimeout))
 	s.set(before, after)
 	return true
 }
@@ -88,14 +90,6 @@
 	}
 }
 
-// cancelHangingRead cancels the read in progress if the copy is meanwhile complete as of a time much later than its start,
-// because a peer has read the store.
-func (s *Syncer) cancelHangingRead(completeAt time.Time) {
-	if s.cancelRead != nil && completeAt.Sub(s.readStart) > callTimeout {
-		s.cancelRead()
-	}
-}
-
 // retainRemoved sets the time until which the targets of removals are retained. The entries that are missing in the
 // first read after an outage of the store may merely have expired because their targets could not renew them. With the
 // zero time, no target is retained.
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -21,20 +20,6 @@
 )
 
 const (
-	// callTimeout is the timeout of one read. The store responds in 4 ms, and two calls must fit into the part of the
-	// drain bound that readAge leaves.
-	callTimeout = 400 * time.Millisecond
-	// maxCallTimeout limits the timeout for a slow store; each read that times out doubles the timeout of the next one.
-	maxCallTimeout = 3200 * time.Millisecond
-	// firstBackoff and maxBackoff limit the backoff after a failed read. Every call costs money, but after an outage
-	// of the store, daemons must have read it within the 4 s after which they count as in touch with it.
-	firstBackoff = 250 * time.Millisecond
-	maxBackoff   = 2 * time.Second
-	// startBackoff is the pause after a failed read of a daemon that has no configuration yet and cannot serve requests.
-	// Its reads use callTimeout, except for every longTryEvery-th read, which uses maxCallTimeout in case the store is
-	// slow.
-	startBackoff = 100 * time.Millisecond
-	longTryEvery = 4
 	// pushingRanks is how many daemons push what they read to all others. The other daemons of a large fleet, which read
 	// at about the same time when all of these fail, would only push the same changes to each other.
 	pushingRanks = 16
@@ -111,26 +96,18 @@
 	// recovered is when this daemon last received an update while it had no copy or a stale one, or read the store again
 	// after failed reads. For a while after it, the store reader reads more often.
 	recovered time.Time
-	// readStart is when the read in progress began, and cancelRead cancels it.
-	readStart  time.Time
-	cancelRead context.CancelFunc
+	// schedule decides when to read.
+	schedule readSchedule
 
 	// storeLost is set while reads fail.
 	storeLost bool
 	// readAgainAt is when the store is read in full once more because it was restored from a backup; zero if it is not.
 	readAgainAt time.Time
-
-	// The fields below are used only by readLoop. No read starts before nextTry.
-	nextTry time.Time
-	backoff time.Duration
-	timeout time.Duration
-	// failures counts failed reads.
-	failures int
 }
 
 // New returns a syncer with an empty copy.
 func New(o Options) *Syncer {
-	return &Syncer{options: o, readWake: make(chan struct{}, 1), copyWake: make(chan struct{}, 1), timeout: callTimeout}
+	return &Syncer{options: o, readWake: make(chan struct{}, 1), copyWake: make(chan struct{}, 1)}
 }
 
 // State returns the cached copy.
@@ -179,19 +156,22 @@
 
 func (s *Syncer) readLoop(ctx context.Context) {
 	s.join(ctx)
+	var reads errgroup.Group
 	for ctx.Err() == nil {
 		s.removeExpired()
-		timer := time.NewTimer(s.untilDue(time.Now()))
+		timer := time.NewTimer(s.untilNextEvent(time.Now()))
 		select {
 		case <-timer.C:
 			if s.untilDue(time.Now()) <= 0 {
-				s.read(ctx)
+				s.startRead(ctx, &reads)
 			}
 		case <-s.readWake:
 		case <-ctx.Done():
 		}
 		timer.Stop()
 	}
+	// A read ends with ctx and logs its own failure.
+	_ = reads.Wait()
 }
 
 // join delays the first read. Daemons that start together spread out their first reads, and stop waiting when they have
@@ -220,18 +200,26 @@
 	_ = group.Wait()
 }
 
+// untilNextEvent returns the time until the next read is due or a retained target expires.
+func (s *Syncer) untilNextEvent(now time.Time) time.Duration {
+	until := s.untilDue(now)
+	if at, ok := s.State().Inventory.NextExpiry(); ok {
+		until = min(until, max(at.Sub(now), 0))
+	}
+	return until
+}
+
 // untilDue returns the time until the next read is due.
 func (s *Syncer) untilDue(now time.Time) time.Duration {
 	rank := s.options.Peers.Rank()
-	age := readAge(rank, s.options.DrainBound())
+	state := s.State()
+	age, interval := readAge(rank, s.options.DrainBound()), probeIntervalOf(rank, state.Configured())
 	if rank == 0 && s.recovering(now) {
-		age = min(age, recoveryInterval)
+		age, interval = min(age, recoveryInterval), min(interval, recoveryInterval)
 	}
-	at := s.State().CompleteAt().Add(age)
-	if s.nextTry.After(at) {
-		at = s.nextTry
-	}
-	return max(at.Sub(now), 0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.schedule.due(state.CompleteAt(), age, interval).Sub(now), 0)
 }
 
 func (s *Syncer) wakeReadLoop() {
@@ -241,11 +229,25 @@
 	}
 }
 
-func (s *Syncer) read(ctx context.Context) {
+// startRead starts a read in the group.
+func (s *Syncer) startRead(ctx context.Context, group *errgroup.Group) {
+	ctx, cancel := context.WithCancel(ctx)
+	s.mu.Lock()
+	read := s.schedule.begin(time.Now(), s.State().CompleteAt(), cancel)
+	s.mu.Unlock()
+	group.Go(func() error {
+		defer cancel()
+		s.read(ctx, read)
+		s.wakeReadLoop()
+		return nil
+	})
+}
+
+func (s *Syncer) read(ctx context.Context, read *storeRead) {
 	more, err := true, error(nil)
 	for range maxResponses {
-		if more, err = s.readWithTimeout(ctx); err != nil {
-			s.handleReadFailure(err)
+		if more, err = s.readWithTimeout(ctx, read); err != nil {
+			s.handleReadFailure(read, err)
 			return
 		}
 		if !more {
@@ -253,37 +255,32 @@
 		}
 	}
 	s.mu.Lock()
+	s.schedule.succeed(read)
 	wasLost := s.storeLost
 	s.storeLost = false
 	s.mu.Unlock()
 	if wasLost {
 		events.StoreRegained.Log(s.options.Log, zap.Uint64("revision", s.State().Inventory.Revision))
 	}
-	s.timeout, s.backoff, s.nextTry = callTimeout, 0, time.Time{}
-	now := time.Now()
 	if s.options.Peers.Rank() >= pushingRanks {
 		return
 	}
 	s.mu.Lock()
 	steps, from := s.history.recent()
-	p := encodePush(steps, from, s.State(), now)
+	p := encodePush(steps, from, s.State(), time.Now())
 	s.mu.Unlock()
 	s.options.Peers.Push(p)
 }
 
-// readWithTimeout reads once with the current timeout. It reports whether the response may have left out changes.
-func (s *Syncer) readWithTimeout(ctx context.Context) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+// readWithTimeout calls the store once. It reports whether the response may have left out changes.
+func (s *Syncer) readWithTimeout(ctx context.Context, read *storeRead) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, read.timeout)
 	defer cancel()
 	start := time.Now()
 	s.mu.Lock()
-	s.readStart, s.cancelRead = start, cancel
+	read.start = start
 	s.mu.Unlock()
-	more, err := s.readOnce(ctx, start)
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		s.timeout = min(2*s.timeout, maxCallTimeout)
-	}
-	return more, err
+	return s.readOnce(ctx, start)
 }
 
 func (s *Syncer) readOnce(ctx context.Context, start time.Time) (bool, error) {
@@ -382,21 +379,14 @@
 		d.Era, d.Revision, state.Inventory.Era, state.Inventory.Revision)
 }
 
-func (s *Syncer) handleReadFailure(err error) {
-	s.failures++
-	if !s.State().Configured() {
-		s.timeout = callTimeout
-		if s.failures%longTryEvery == 0 {
-			s.timeout = maxCallTimeout
-		}
-		s.nextTry = time.Now().Add(startBackoff)
+func (s *Syncer) handleReadFailure(read *storeRead, err error) {
+	configured := s.State().Configured()
+	s.mu.Lock()
+	counts := s.schedule.fail(read, time.Now(), configured)
+	s.mu.Unlock()
+	if counts {
 		s.markStoreLost(err)
-		return
 	}
-	s.backoff = min(max(2*s.backoff, firstBackoff), maxBackoff)
-	// The jitter keeps daemons whose reads failed together from retrying together.
-	s.nextTry = time.Now().Add(s.backoff/2 + time.Duration(rand.Int64N(int64(s.backoff))))
-	s.markStoreLost(err)
 }
 
 func (s *Syncer) markStoreLost(err error) {
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -52,7 +52,9 @@
 	// oldest is the revision up to which the history is compacted.
 	oldest uint64
 	// down holds the daemons that get no response; "" stands for all of them.
-	down  map[string]bool
+	down map[string]bool
+	// fault is called in each call and returns the error of those that fail. It is nil if none does.
+	fault func(ctx context.Context) error
 	calls int
 	// fullReads counts the reads of the whole state, which take several calls in a large fleet.
 	fullReads int
@@ -111,6 +113,12 @@
 	s.down[daemon] = down
 }
 
+func (s *store) setFault(fault func(ctx context.Context) error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
 func (s *store) callCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -166,8 +174,11 @@
 func (c storeClient) call(ctx context.Context) error {
 	c.store.mu.Lock()
 	c.store.calls++
-	down := c.store.down[""] || c.store.down[c.daemon]
+	down, fault := c.store.down[""] || c.store.down[c.daemon], c.store.fault
 	c.store.mu.Unlock()
+	if fault != nil {
+		return fault(ctx)
+	}
 	if down {
 		<-ctx.Done()
 		return errDown
@@ -325,7 +336,7 @@
 	if l.fleet.isEarlier(l.self) {
 		p.ConfigurationComplete = false
 	}
-	for i := range daemonCount {
+	for i := range l.Members() {
 		s := l.fleet.at(i)
 		if i == l.self || l.fleet.isPartitioned(i) || l.fleet.isPartitioned(l.self) || l.fleet.dropsPushes(i) {
 			continue
@@ -338,7 +349,7 @@
 	}
 }
 
-func (l link) Members() int { return daemonCount }
+func (l link) Members() int { return len(l.fleet.cancel) }
 
 // Seeds are the first three daemons.
 func (l link) Seeds() []roster.Member {
@@ -388,14 +399,16 @@
 // Rank is the daemon's index: daemon 0 is the store reader.
 func (l link) Rank() int { return l.self }
 
-func startFleet(s *store) *fleet {
+func startFleet(s *store) *fleet { return startFleetOf(s, daemonCount) }
+
+func startFleetOf(s *store, daemons int) *fleet {
 	ctx, end := context.WithCancel(context.Background())
-	f := &fleet{store: s, partitioned: map[int]bool{}, noPushes: map[int]bool{}, end: end, ctx: ctx}
-	for i := range daemonCount {
+	f := &fleet{store: s, partitioned: map[int]bool{}, noPushes: map[int]bool{}, cancel: make([]context.CancelFunc, daemons), end: end, ctx: ctx}
+	for i := range daemons {
 		f.syncers = append(f.syncers, f.newSyncer(i, true))
 	}
-	for _, syncer := range f.syncers {
-		f.cancel = append(f.cancel, f.run(syncer))
+	for i, syncer := range f.syncers {
+		f.cancel[i] = f.run(syncer)
 	}
 	f.group.Go(func() error { s.renewEntries(ctx); return nil })
 	time.Sleep(5 * time.Second)
