Targets are retained by when the store returned, not by a flag of this daemon's own reads

Cause: a flag that only a read of this daemon clears, and a time that counts from that read. Change: an outage counts only if a call began after the copy's latest news and was not answered, and what is missing is retained until 3.6 s after the start of the latest such call at the most. The store returned after that, so this ends within the 4 s after which a daemon is in touch. The state of a restored store is retained in the same way. Before a retained target expires, the store is read again.

--- a/internal/storesync/apply.go
+++ b/internal/storesync/apply.go
@@ -30,14 +30,16 @@
 	}
 	d.Targets = lo.Filter(d.Targets, func(c inventory.Change, _ int) bool { return c.ChangeRevision() > after.Inventory.Revision })
 	d.Targets = significantChanges(before.Inventory, d.Targets)
-	if stale || before.ReadAt.IsZero() || fromStore && s.storeLost {
+	// The store may have been silent, and entries may have expired, since the copy was last complete.
+	lost := fromStore && s.schedule.unansweredAt.After(before.ReadAt)
+	if stale || before.ReadAt.IsZero() || lost {
 		s.recovered = now
 		s.schedule.endBackoff()
 	}
 	switch {
 	case d.Era != before.Inventory.Era:
-	case fromStore && s.storeLost && stale:
-		d.Targets = retainRemoved(d.Targets, now.Add(recoveryWindow))
+	case lost && stale:
+		d.Targets = retainRemoved(d.Targets, s.recoveryEnd(before, now))
 	case !fromStore && !stale:
 		// This copy has been up to date throughout, so the removals are final even if the sender lost contact with the
 		// store.
@@ -59,7 +61,7 @@
 }
 
 // enterEra returns the delta to the state of a store that was restored from a backup. The store lacks what was written
-// since the backup until it is written again, so that what this copy has of it is retained for recoveryWindow. The store is
+// since the backup until it is written again, so that what this copy has of it is retained until recoveryEnd. The store is
 // then read in full once more.
 func (s *Syncer) enterEra(before platformstate.State, d Delta, fromStore bool, now time.Time) Delta {
 	if before.Inventory.Revision == 0 {
@@ -70,7 +72,7 @@
 	if !fromStore {
 		return d
 	}
-	s.recovered, s.readAgainAt = now, now.Add(recoveryWindow)
+	s.recovered, s.readAgainAt = now, s.recoveryEnd(before, now)
 	d.Targets = retainRemoved(d.Targets, s.readAgainAt)
 	d.OperatorState = lo.Reject(d.OperatorState, func(c operatorstate.Change, _ int) bool {
 		_, restored := c.(operatorstate.ZoneRestored)
@@ -79,6 +81,17 @@
 	return d
 }
 
+// recoveryEnd returns the time until which entries that the store lacks are retained. The store has returned at the earliest
+// at the start of the latest call that it has not answered, or after the time as of which the copy is complete.
+func (s *Syncer) recoveryEnd(before platformstate.State, now time.Time) time.Time {
+	end := now.Add(recoveryWindow)
+	lastAway := later(s.schedule.unansweredAt, before.ReadAt)
+	if latest := lastAway.Add(returnWindow); !lastAway.IsZero() && latest.Before(end) {
+		return latest
+	}
+	return end
+}
+
 func (s *Syncer) set(before, after platformstate.State) {
 	if s.options.OnChange != nil {
 		s.options.OnChange(before, after)
--- a/internal/storesync/return_test.go
+++ b/internal/storesync/return_test.go
@@ -176,3 +176,28 @@
 		})
 	}
 }
+
+// Guards against a daemon that takes its first read for the first one after an outage, and retains the targets that were
+// removed, although its peers have told it since that the store had returned.
+func TestOutageThatIsLongOverRetainsNoTargets(t *testing.T) {
+	for _, peersGone := range []time.Duration{time.Second, 5 * time.Second, 20 * time.Second} {
+		t.Run(fmt.Sprint(peersGone), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const bound = 5 * time.Second
+				f := startFleet(newStore())
+				defer f.close()
+				f.setBound(bound)
+				f.store.setDown("7", true)
+				f.setNoPushes(7)
+				time.Sleep(6 * time.Second)
+				f.setNoPushes()
+				time.Sleep(3 * time.Second)
+				f.store.setDown("7", false)
+				time.Sleep(peersGone)
+				f.setPartitioned(7, true)
+				f.store.remove("t2")
+				f.within(t, bound, []int{7}, func(s platformstate.State) bool { return !hasTarget("t2")(s) })
+			})
+		})
+	}
+}
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -35,6 +35,9 @@
 	expiryAge = 2500 * time.Millisecond
 	// recoveryWindow is the time after an outage of the store within which live targets have republished themselves.
 	recoveryWindow = 2500 * time.Millisecond
+	// returnWindow is the time after the return of the store within which a daemon must have dropped the targets that were
+	// removed before: less than the 4 s after which it counts as in touch with the store.
+	returnWindow = 3600 * time.Millisecond
 	// coldTolerance is the largest change of the published end of a target's cold start that is not pushed to peers.
 	coldTolerance = 400 * time.Millisecond
 	// firstStartSpread is the time over which daemons that start together spread out their first reads.
@@ -93,13 +96,13 @@
 	history    history
 	candidates fetchCandidates
 	packCache  packCache
-	// recovered is when this daemon last received an update while it had no copy or a stale one, or read the store again
-	// after failed reads. For a while after it, the store reader reads more often.
+	// recovered is when this daemon last received an update while it had no copy or a stale one, or read the store after
+	// calls that had no answer. For a while after it, the store reader reads more often.
 	recovered time.Time
 	// schedule decides when to read.
 	schedule readSchedule
 
-	// storeLost is set while reads fail.
+	// storeLost is set while reads fail, for the log alone: peers may have told this daemon since that the store is back.
 	storeLost bool
 	// readAgainAt is when the store is read in full once more because it was restored from a backup; zero if it is not.
 	readAgainAt time.Time
@@ -217,6 +220,10 @@
 	if rank == 0 && s.recovering(now) {
 		age, interval = min(age, recoveryInterval), min(interval, recoveryInterval)
 	}
+	if expiry, ok := state.Inventory.NextExpiry(); ok && expiry.Sub(state.CompleteAt()) > 2*recoveryInterval {
+		// The retained targets may have published themselves again.
+		age = min(age, expiry.Sub(state.CompleteAt())-recoveryInterval)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return max(s.schedule.due(state.CompleteAt(), age, interval).Sub(now), 0)
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"compress/gzip"
 	"context"
 	"errors"
@@ -284,10 +285,12 @@
 	hangingCopies map[int]bool
 	// earlier are the daemons of an earlier version, whose pushes and copies do not say whether the configuration is complete.
 	earlier map[int]bool
-	group   errgroup.Group
-	cancel  []context.CancelFunc
-	end     context.CancelFunc
-	ctx     context.Context
+	// otherBound replaces drainBound unless it is zero.
+	otherBound time.Duration
+	group      errgroup.Group
+	cancel     []context.CancelFunc
+	end        context.CancelFunc
+	ctx        context.Context
 }
 
 // link connects one daemon with its peers.
@@ -419,10 +422,29 @@
 	return storesync.New(storesync.Options{
 		Source: storeClient{store: f.store, daemon: fmt.Sprint(i)}, Peers: link{fleet: f, self: i},
 		Copy:       &blackboard.Cell[platformstate.State]{},
-		DrainBound: func() time.Duration { return drainBound }, FirstStart: firstStart,
+		DrainBound: f.bound, FirstStart: firstStart,
 	})
 }
 
+// bound returns the drain bound.
+func (f *fleet) bound() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return cmp.Or(f.otherBound, drainBound)
+}
+
+func (f *fleet) setBound(bound time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.otherBound = bound
+}
+
+func (f *fleet) setNoPushes(daemons ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.noPushes = lo.SliceToMap(daemons, func(i int) (int, bool) { return i, true })
+}
+
 func (f *fleet) run(syncer *storesync.Syncer) context.CancelFunc {
 	daemonCtx, cancel := context.WithCancel(f.ctx)
 	f.group.Go(func() error { syncer.Run(daemonCtx); return nil })
@@ -654,9 +676,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(newStore())
 		defer f.close()
-		f.mu.Lock()
-		f.noPushes = map[int]bool{0: true, 1: true, 2: true}
-		f.mu.Unlock()
+		f.setNoPushes(0, 1, 2)
 		for _, seed := range []string{"0", "1", "2"} {
 			f.store.setDown(seed, true)
 		}
@@ -682,9 +702,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(newStore())
 		defer f.close()
-		f.mu.Lock()
-		f.noPushes = map[int]bool{7: true}
-		f.mu.Unlock()
+		f.setNoPushes(7)
 		f.syncers[7].Invalidate()
 		time.Sleep(time.Second)
 		before := f.syncers[7].State()
