A daemon that starts or wakes retains the targets that its peers retain

What callers saw: found by reading. A daemon that started, or woke after a suspension, in the seconds after an outage of the store had no targets until their entries were back, and refused requests that its peers could serve.

Cause: an empty copy, or one of unknown age, passed for one that had been up to date throughout, so that removals which the peers hold back counted as final. It shows where the store does not state its era. Change: only a copy with a known age counts.

--- a/internal/storesync/apply.go
+++ b/internal/storesync/apply.go
@@ -40,7 +40,7 @@
 	case d.Era != before.Inventory.Era:
 	case lost && stale:
 		d.Targets = retainRemoved(d.Targets, s.recoveryEnd(before, now))
-	case !fromStore && !stale:
+	case !fromStore && !stale && !before.ReadAt.IsZero():
 		// This copy has been up to date throughout, so the removals are final even if the sender lost contact with the
 		// store.
 		d.Targets = retainRemoved(d.Targets, time.Time{})
--- a/internal/storesync/return_test.go
+++ b/internal/storesync/return_test.go
@@ -201,3 +201,36 @@
 		})
 	}
 }
+
+// Guards against a daemon that starts, or wakes after a suspension, while expired entries are not back yet, and drops the targets
+// that its peers retain.
+func TestTargetsThatPeersRetainAreRetained(t *testing.T) {
+	for name, c := range map[string]struct{ before, after func(f *fleet) }{
+		"restarted": {func(*fleet) {}, func(f *fleet) { f.restart(7) }},
+		"suspended": {func(f *fleet) { f.syncers[7].Invalidate() }, func(*fleet) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStore()
+				s.era = 0 // as of a store that does not state its era
+				f := startFleet(s)
+				defer f.close()
+				// Daemon 7 has nothing but what its peers tell.
+				s.setDown("7", true)
+				s.setDown("", true)
+				time.Sleep(6 * time.Second)
+				for i := range 40 {
+					s.remove(fmt.Sprint("t", i))
+				}
+				c.before(f)
+				s.setDown("", false)
+				time.Sleep(time.Second)
+				c.after(f)
+				for range 10 {
+					time.Sleep(100 * time.Millisecond)
+					require.Equal(t, 40, f.at(7).State().Inventory.Len())
+				}
+			})
+		})
+	}
+}
