--- a/internal/storesync/schedule.go
+++ b/internal/storesync/schedule.go
@@ -64,8 +64,8 @@
 	return !r.unansweredAt.IsZero() && !completeAt.After(r.unansweredAt)
 }
 
-// due returns the time at which the next read is due, for a copy that is complete as of completeAt and is read again at
-// the given age.
+// due returns the time at which the next read is due, for a copy that is complete as of completeAt. It is the given age of
+// the copy, or while the store is lost, the given interval after the start of the latest read.
 func (r *readSchedule) due(completeAt time.Time, age, interval time.Duration) time.Time {
 	if r.lost(completeAt) {
 		at := r.lastStart.Add(time.Duration(r.probeShare * float64(interval)))
@@ -82,8 +82,7 @@
 	return at
 }
 
-// begin adds a read. While the store is lost, the reads in progress count as unanswered, and the latest one is abandoned
-// if there are too many.
+// begin adds a read. The reads in progress count as unanswered, and the latest one is abandoned if there are too many.
 func (r *readSchedule) begin(now, completeAt time.Time, cancel context.CancelFunc) *storeRead {
 	read := &storeRead{start: now, timeout: lo.Ternary(r.lost(completeAt), lostTimeout, callTimeout), cancel: cancel}
 	for _, earlier := range r.inProgress {
