Test of a slow store

TestSlowStoreIsFollowed: a configuration must arrive within three times the 2.5 s that each call takes.

--- a/internal/storesync/return_test.go
+++ b/internal/storesync/return_test.go
@@ -123,6 +123,31 @@
 	}
 }
 
+// Guards against a daemon that gives up each call to a slow store too early, and learns nothing from it.
+func TestSlowStoreIsFollowed(t *testing.T) {
+	const answersAfter = 2500 * time.Millisecond
+	for _, daemons := range []int{1, 2, 13} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleetOf(newStore(), daemons)
+				defer f.close()
+				f.store.setFault(func(ctx context.Context) error {
+					if errors.Is(sleep(ctx, answersAfter), errDown) {
+						return errDown
+					}
+					return nil
+				})
+				time.Sleep(10 * time.Second)
+				for version := uint64(2); version < 6; version++ {
+					f.store.setVersion(version)
+					// A call that began before the change may have to end first.
+					f.within(t, 3*answersAfter, lo.Range(daemons), hasVersion(version))
+				}
+			})
+		})
+	}
+}
+
 // Guards against targets that were removed before an outage of the store, or after its return, and that some daemon uses for
 // longer than the time after the return within which expired entries are back.
 func TestRemovedTargetsAreDroppedSoonAfterTheStoreReturns(t *testing.T) {
